--- /dev/null
+++ b/lentilscale/http_client.cc
@@ -0,0 +1,220 @@
+// One timer per call bounds the whole call, so that a connection that went
+// silent costs one timeout and is then closed, never reused. Kept connections
+// have a bounded idle age for the same reason.
+//
+// h2o's pool does not bound the number of connections; callers that must
+// respect such a bound count their open calls (see open_calls).
+
+#include "lentilscale/http_client.h"
+
+#include <fmt/format.h>
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <netinet/tcp.h>
+
+#include <map>
+
+namespace lentilscale {
+namespace {
+
+constexpr std::uint64_t kIoTimeoutMs = 3600000;
+
+struct Pool {
+  h2o_socketpool_t pool_{};
+  std::int64_t open_calls_ = 0;
+};
+
+struct Counters {
+  std::uint64_t bytes_out_ = 0;
+  std::uint64_t bytes_in_ = 0;
+};
+
+struct CallState {
+  uv_timer_t timer_{};
+  h2o_http1client_t* client_ = nullptr;
+  Pool* pool_ = nullptr;
+  Counters* counters_ = nullptr;
+  std::string head_;
+  std::string body_;
+  h2o_iovec_t bufs_[2]{};
+  HttpResult result_;
+  HttpClient::Callback callback_;
+  bool is_sent_ = false;
+  bool is_done_ = false;
+};
+
+auto Finish(CallState* state, HttpOutcome outcome) -> void {
+  if (state->is_done_) {
+    return;
+  }
+  state->is_done_ = true;
+  state->client_ = nullptr;
+  state->result_.outcome_ = outcome;
+  --state->pool_->open_calls_;
+  uv_timer_stop(&state->timer_);
+  uv_close(reinterpret_cast<uv_handle_t*>(&state->timer_),
+           [](uv_handle_t* handle) {
+             auto* closed = static_cast<CallState*>(handle->data);
+             closed->callback_(closed->result_);
+             delete closed;
+           });
+}
+
+auto FailedOutcome(const CallState& state) -> HttpOutcome {
+  return state.is_sent_ ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
+}
+
+auto OnTimeout(uv_timer_t* timer) -> void {
+  auto* state = static_cast<CallState*>(timer->data);
+  if (state->client_ != nullptr) {
+    h2o_http1client_cancel(state->client_);
+  }
+  Finish(state, FailedOutcome(*state));
+}
+
+auto OnBody(h2o_http1client_t* client, const char* error) -> int {
+  auto* state = static_cast<CallState*>(client->data);
+  if (error != nullptr && error != h2o_http1client_error_is_eos) {
+    Finish(state, HttpOutcome::kUnknown);
+    return -1;
+  }
+  auto* input = client->sock->input;
+  state->result_.body_.append(input->bytes, input->size);
+  state->counters_->bytes_in_ += input->size;
+  h2o_buffer_consume(&client->sock->input, input->size);
+  if (error == h2o_http1client_error_is_eos) {
+    Finish(state, HttpOutcome::kAnswered);
+  }
+  return 0;
+}
+
+auto OnHead(h2o_http1client_t* client, const char* error, int /*minor*/,
+            int status, h2o_iovec_t /*msg*/, h2o_header_t* /*headers*/,
+            std::size_t /*num_headers*/, int /*rlen*/) -> h2o_http1client_body_cb {
+  auto* state = static_cast<CallState*>(client->data);
+  if (error != nullptr && error != h2o_http1client_error_is_eos) {
+    Finish(state, HttpOutcome::kUnknown);
+    return nullptr;
+  }
+  state->result_.status_ = status;
+  if (error == h2o_http1client_error_is_eos) {
+    Finish(state, HttpOutcome::kAnswered);
+    return nullptr;
+  }
+  return OnBody;
+}
+
+auto OnConnect(h2o_http1client_t* client, const char* error,
+               h2o_iovec_t** reqbufs, std::size_t* reqbufcnt,
+               int* method_is_head) -> h2o_http1client_head_cb {
+  auto* state = static_cast<CallState*>(client->data);
+  if (error != nullptr) {
+    Finish(state, HttpOutcome::kNotSent);
+    return nullptr;
+  }
+  state->is_sent_ = true;
+  state->bufs_[0] = h2o_iovec_init(state->head_.data(), state->head_.size());
+  state->bufs_[1] = h2o_iovec_init(state->body_.data(), state->body_.size());
+  *reqbufs = state->bufs_;
+  *reqbufcnt = 2;
+  *method_is_head = 0;
+  return OnHead;
+}
+
+auto MakeHead(const HttpCall& call) -> std::string {
+  auto head = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
+                          call.method_, call.path_, call.address_,
+                          call.body_.size());
+  if (!call.bearer_.empty()) {
+    head += fmt::format("Authorization: Bearer {}\r\n", call.bearer_);
+  }
+  return head + "\r\n";
+}
+
+}  // namespace
+
+struct HttpClient::Core {
+  uv_loop_t* loop_ = nullptr;
+  Options options_;
+  h2o_timeout_t io_timeout_{};
+  h2o_http1client_ctx_t context_{};
+  std::map<std::string, std::unique_ptr<Pool>, std::less<>> pools_;
+  Counters counters_;
+
+  // Returns the pool for `address`, or nullptr if it is not IP:port.
+  auto FindPool(const std::string& address) -> Pool* {
+    const auto it = pools_.find(address);
+    if (it != pools_.end()) {
+      return it->second.get();
+    }
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+      return nullptr;
+    }
+    sockaddr_in addr{};
+    const auto port = std::atoi(address.c_str() + colon + 1);
+    if (uv_ip4_addr(address.substr(0, colon).c_str(), port, &addr) != 0) {
+      return nullptr;
+    }
+    auto pool = std::make_unique<Pool>();
+    h2o_socketpool_init_by_address(&pool->pool_,
+                                   reinterpret_cast<sockaddr*>(&addr),
+                                   sizeof(addr), 0, SIZE_MAX);
+    h2o_socketpool_set_timeout(&pool->pool_, loop_, options_.idle_ms_);
+    return pools_.emplace(address, std::move(pool)).first->second.get();
+  }
+};
+
+HttpClient::HttpClient(uv_loop_t* loop, const Options& options)
+    : core_(std::make_unique<Core>()) {
+  core_->loop_ = loop;
+  core_->options_ = options;
+  h2o_timeout_init(loop, &core_->io_timeout_, kIoTimeoutMs);
+  core_->context_.loop = loop;
+  core_->context_.io_timeout = &core_->io_timeout_;
+}
+
+// Pools and timers of h2o refer to the loop; a client lives as long as the
+// process, so its core is left to the end of the process.
+HttpClient::~HttpClient() {
+  core_.release();  // NOLINT(bugprone-unused-return-value)
+}
+
+auto HttpClient::Send(HttpCall call, Callback callback) -> void {
+  auto* pool = core_->FindPool(call.address_);
+  auto* state = new CallState;
+  static Pool no_pool;
+  state->pool_ = pool == nullptr ? &no_pool : pool;
+  state->counters_ = &core_->counters_;
+  state->callback_ = std::move(callback);
+  state->head_ = MakeHead(call);
+  state->body_ = std::move(call.body_);
+  ++state->pool_->open_calls_;
+  uv_timer_init(core_->loop_, &state->timer_);
+  state->timer_.data = state;
+  if (pool == nullptr) {
+    Finish(state, HttpOutcome::kNotSent);
+    return;
+  }
+  core_->counters_.bytes_out_ += state->head_.size() + state->body_.size();
+  uv_timer_start(&state->timer_, OnTimeout,
+                 static_cast<std::uint64_t>(std::max<Millis>(call.timeout_ms_, 1)),
+                 0);
+  h2o_http1client_connect_with_pool(&state->client_, state, &core_->context_,
+                                    &pool->pool_, OnConnect);
+}
+
+auto HttpClient::open_calls(const std::string& address) const -> std::int64_t {
+  const auto it = core_->pools_.find(address);
+  return it == core_->pools_.end() ? 0 : it->second->open_calls_;
+}
+
+auto HttpClient::bytes_out() const -> std::uint64_t {
+  return core_->counters_.bytes_out_;
+}
+
+auto HttpClient::bytes_in() const -> std::uint64_t {
+  return core_->counters_.bytes_in_;
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/http_client.h
@@ -0,0 +1,87 @@
+// An HTTP/1.1 client on libuv, by h2o's http1client.
+//
+//   client.Send({"127.0.0.1:7001", "POST", "/v1/claim", body, "", 500},
+//               [](const HttpResult& result) { ... });
+//
+// Connections are kept and reused per address, up to a bounded idle age. The
+// result tells apart "never sent" from "sent, no answer": only the first
+// proves that the request was not executed.
+
+#ifndef LENTILSCALE_HTTP_CLIENT_H_
+#define LENTILSCALE_HTTP_CLIENT_H_
+
+#include <uv.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "lentilscale/clock.h"
+
+namespace lentilscale {
+
+// One request to send.
+struct HttpCall {
+  // IP number and port, "127.0.0.1:7001".
+  std::string address_;
+  std::string method_;
+  std::string path_;
+  std::string body_;
+  // A key for the Authorization header, or empty.
+  std::string bearer_;
+  // Time from now until the call is given up.
+  Millis timeout_ms_ = 1000;
+};
+
+// How a call ended.
+enum class HttpOutcome {
+  // A whole answer arrived.
+  kAnswered,
+  // The connection could not be made: the request was never sent.
+  kNotSent,
+  // The request was sent, at least in part, and no whole answer arrived.
+  kUnknown,
+};
+
+// The result of one call.
+struct HttpResult {
+  HttpOutcome outcome_ = HttpOutcome::kNotSent;
+  int status_ = 0;
+  std::string body_;
+};
+
+// Sends requests and keeps the connections.
+class HttpClient {
+ public:
+  using Callback = std::function<void(const HttpResult&)>;
+
+  struct Options {
+    // Idle time after which a kept connection is closed. It must be shorter
+    // than the servers' own.
+    Millis idle_ms_ = 3000;
+  };
+
+  HttpClient(uv_loop_t* loop, const Options& options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  auto operator=(const HttpClient&) -> HttpClient& = delete;
+
+  // Sends `call`; `callback` runs exactly once, always later.
+  auto Send(HttpCall call, Callback callback) -> void;
+
+  // Returns the number of calls to `address` that have not ended.
+  auto open_calls(const std::string& address) const -> std::int64_t;
+
+  // Returns bytes of requests sent and of answers received.
+  auto bytes_out() const -> std::uint64_t;
+  auto bytes_in() const -> std::uint64_t;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core_;
+};
+
+}  // namespace lentilscale
+
+#endif  // LENTILSCALE_HTTP_CLIENT_H_
--- /dev/null
+++ b/lentilscale/http_server.cc
@@ -0,0 +1,258 @@
+// h2o parses requests and writes answers. Every request is answered through a
+// reply object that learns of the request's end by a destructor in the
+// request's memory pool; that one hook covers disconnects, timeouts and the
+// normal end, at the cost of one small allocation per request.
+
+#include "lentilscale/http_server.h"
+
+#include <fmt/format.h>
+#include <h2o.h>
+
+#include <cstring>
+
+namespace lentilscale {
+namespace {
+
+constexpr auto kListenBacklog = 1024;
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+struct ServerCounters {
+  std::int64_t open_requests_ = 0;
+  std::uint64_t bytes_in_ = 0;
+  std::uint64_t bytes_out_ = 0;
+};
+
+// One process has few servers, all on one thread, and h2o gives no room for a
+// per-server pointer in a reply; the counters are therefore reached through
+// the handler object of the request.
+struct LentilHandler {
+  h2o_handler_t super_;
+  HttpServer::Handler* handler_;
+  ServerCounters* counters_;
+};
+
+struct ReplyHook {
+  std::shared_ptr<HttpReply> reply_;
+  ServerCounters* counters_;
+};
+
+auto DisposeHook(void* data) -> void {
+  auto* hook = *static_cast<ReplyHook**>(data);
+  hook->reply_->Detach();
+  --hook->counters_->open_requests_;
+  delete hook;
+}
+
+auto ToString(const h2o_iovec_t& vec) -> std::string {
+  return {vec.base == nullptr ? "" : vec.base, vec.len};
+}
+
+auto ReadHeaders(const h2o_req_t& req, HttpRequest& out) -> void {
+  auto is_authorization_seen = false;
+  for (std::size_t i = 0; i < req.headers.size; ++i) {
+    const auto& header = req.headers.entries[i];
+    if (header.name != &H2O_TOKEN_AUTHORIZATION->buf) {
+      continue;
+    }
+    out.has_duplicate_header_ |= is_authorization_seen;
+    is_authorization_seen = true;
+    const auto value = ToString(header.value);
+    if (value.starts_with(kBearerPrefix)) {
+      out.bearer_ = value.substr(kBearerPrefix.size());
+    }
+  }
+}
+
+auto MakeRequest(const h2o_req_t& req) -> HttpRequest {
+  HttpRequest out;
+  out.method_ = ToString(req.method);
+  const auto target = ToString(req.path);
+  const auto mark = target.find('?');
+  out.path_ = target.substr(0, mark);
+  out.query_ = mark == std::string::npos ? "" : target.substr(mark + 1);
+  out.body_ = ToString(req.entity);
+  ReadHeaders(req, out);
+  return out;
+}
+
+auto OnRequest(h2o_handler_t* self, h2o_req_t* req) -> int {
+  auto* handler = reinterpret_cast<LentilHandler*>(self);
+  const auto request = MakeRequest(*req);
+  auto reply = std::make_shared<HttpReply>(req);
+  auto** slot = static_cast<ReplyHook**>(
+      h2o_mem_alloc_shared(&req->pool, sizeof(ReplyHook*), DisposeHook));
+  *slot = new ReplyHook{reply, handler->counters_};
+  ++handler->counters_->open_requests_;
+  handler->counters_->bytes_in_ += request.path_.size() + request.body_.size();
+  (*handler->handler_)(request, std::move(reply));
+  return 0;
+}
+
+auto DecodePercent(std::string_view text) -> std::string {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      const auto hex = std::string(text.substr(i + 1, 2));
+      out += static_cast<char>(std::strtol(hex.c_str(), nullptr, 16));
+      i += 2;
+    } else {
+      out += text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+auto HttpRequest::QueryParam(std::string_view name,
+                             const std::string& fallback) const -> std::string {
+  std::string_view rest = query_;
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto pair = rest.substr(0, end);
+    const auto equals = std::min(pair.find('='), pair.size());
+    if (pair.substr(0, equals) == name && equals < pair.size()) {
+      return DecodePercent(pair.substr(equals + 1));
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return fallback;
+}
+
+HttpReply::~HttpReply() {
+  // h2o disposes of a request only after its answer, so an unanswered reply
+  // that is destroyed here was forgotten by a handler.
+  Send(500, R"({"code":"internal","not_run":false})");
+}
+
+auto HttpReply::Send(int status, const std::string& body,
+                     const char* content_type) -> void {
+  if (req_ == nullptr) {
+    return;
+  }
+  auto* req = req_;
+  req_ = nullptr;
+  auto* handler = reinterpret_cast<LentilHandler*>(req->pathconf->handlers.entries[0]);
+  handler->counters_->bytes_out_ += body.size();
+  req->res.status = status;
+  req->res.reason = "lentilscale";
+  h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                 content_type, std::strlen(content_type));
+  h2o_send_inline(req, body.data(), body.size());
+}
+
+struct HttpServer::Core {
+  h2o_globalconf_t config_{};
+  h2o_context_t context_{};
+  h2o_accept_ctx_t accept_{};
+  uv_tcp_t* listener_ = nullptr;
+  Handler handler_;
+  ServerCounters counters_;
+
+  static auto OnConnection(uv_stream_t* listener, int status) -> void {
+    if (status != 0) {
+      return;
+    }
+    auto* core = static_cast<Core*>(listener->data);
+    auto* connection = static_cast<uv_tcp_t*>(h2o_mem_alloc(sizeof(uv_tcp_t)));
+    uv_tcp_init(listener->loop, connection);
+    auto* stream = reinterpret_cast<uv_stream_t*>(connection);
+    if (uv_accept(listener, stream) != 0) {
+      uv_close(reinterpret_cast<uv_handle_t*>(connection),
+               reinterpret_cast<uv_close_cb>(free));
+      return;
+    }
+    uv_tcp_nodelay(connection, 1);
+    auto* sock =
+        h2o_uv_socket_create(stream, reinterpret_cast<uv_close_cb>(free));
+    h2o_accept(&core->accept_, sock);
+  }
+
+  auto CloseListener() -> void {
+    if (listener_ == nullptr) {
+      return;
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_), [](uv_handle_t* handle) {
+      delete reinterpret_cast<uv_tcp_t*>(handle);
+    });
+    listener_ = nullptr;
+  }
+};
+
+HttpServer::HttpServer(std::unique_ptr<Core> core) : core_(std::move(core)) {}
+
+HttpServer::~HttpServer() {
+  // Connections of h2o refer to the context until the loop ends; a server is
+  // destroyed only at the end of the process, so the core is left to it.
+  core_->CloseListener();
+  core_.release();  // NOLINT(bugprone-unused-return-value)
+}
+
+auto HttpServer::Listen(uv_loop_t* loop, const std::string& address, int port,
+                        const HttpLimits& limits, Handler handler)
+    -> absl::StatusOr<std::unique_ptr<HttpServer>> {
+  sockaddr_in addr{};
+  if (uv_ip4_addr(address.c_str(), port, &addr) != 0) {
+    return absl::InvalidArgumentError(address + " is not an IP number");
+  }
+  auto core = std::make_unique<Core>();
+  core->handler_ = std::move(handler);
+  h2o_config_init(&core->config_);
+  core->config_.max_request_entity_size = limits.max_body_bytes_;
+  core->config_.http1.req_timeout = limits.request_timeout_ms_;
+  core->config_.http1.upgrade_to_http2 = 0;
+  core->config_.server_name = h2o_iovec_init(H2O_STRLIT("lentilscale"));
+  auto* host = h2o_config_register_host(
+      &core->config_, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  auto* path = h2o_config_register_path(host, "/", 0);
+  auto* h2o_handler = reinterpret_cast<LentilHandler*>(
+      h2o_create_handler(path, sizeof(LentilHandler)));
+  h2o_handler->super_.on_req = OnRequest;
+  h2o_handler->handler_ = &core->handler_;
+  h2o_handler->counters_ = &core->counters_;
+  h2o_context_init(&core->context_, loop, &core->config_);
+  core->accept_.ctx = &core->context_;
+  core->accept_.hosts = core->config_.hosts;
+
+  core->listener_ = new uv_tcp_t;
+  uv_tcp_init(loop, core->listener_);
+  core->listener_->data = core.get();
+  auto status = uv_tcp_bind(core->listener_,
+                            reinterpret_cast<const sockaddr*>(&addr), 0);
+  if (status == 0) {
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(core->listener_),
+                       kListenBacklog, Core::OnConnection);
+  }
+  if (status != 0) {
+    core->CloseListener();
+    core.release();  // NOLINT(bugprone-unused-return-value)
+    return absl::UnavailableError(
+        fmt::format("{}:{}: {}", address, port, uv_strerror(status)));
+  }
+  sockaddr_in bound{};
+  auto length = static_cast<int>(sizeof(bound));
+  uv_tcp_getsockname(core->listener_, reinterpret_cast<sockaddr*>(&bound),
+                     &length);
+  auto server = std::unique_ptr<HttpServer>(new HttpServer(std::move(core)));
+  server->port_ = ntohs(bound.sin_port);
+  return server;
+}
+
+auto HttpServer::open_requests() const -> std::int64_t {
+  return core_->counters_.open_requests_;
+}
+
+auto HttpServer::bytes_in() const -> std::uint64_t {
+  return core_->counters_.bytes_in_;
+}
+
+auto HttpServer::bytes_out() const -> std::uint64_t {
+  return core_->counters_.bytes_out_;
+}
+
+auto HttpServer::StopAccepting() -> void {
+  core_->CloseListener();
+  h2o_context_request_shutdown(&core_->context_);
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/json.cc
@@ -0,0 +1,136 @@
+// JsonCpp in strict mode does the parsing. Strict mode refuses comments and
+// trailing text; duplicate keys are refused too, because two readers of one
+// document could otherwise act on different values.
+
+#include "lentilscale/json.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+
+#include "lentilscale/error.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr auto kMaxDepth = 64;
+
+[[noreturn]] auto ThrowBadMember(const char* name, const std::string& problem)
+    -> void {
+  throw Error(ErrorCode::kBadRequest, fmt::format("'{}' {}", name, problem));
+}
+
+auto MakeReader() -> std::unique_ptr<Json::CharReader> {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["rejectDupKeys"] = true;
+  builder["stackLimit"] = kMaxDepth;
+  return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
+auto MakeWriter() -> Json::StreamWriterBuilder {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  builder["emitUTF8"] = true;
+  return builder;
+}
+
+}  // namespace
+
+auto ParseJson(std::string_view text) -> Json::Value {
+  static const auto kReader = MakeReader();
+  Json::Value root;
+  std::string errors;
+  auto ok = false;
+  try {
+    ok = kReader->parse(text.data(), text.data() + text.size(), &root, &errors);
+  } catch (const Json::Exception& e) {
+    errors = e.what();
+  }
+  if (!ok) {
+    throw Error(ErrorCode::kBadRequest, "malformed JSON: " + errors);
+  }
+  if (!root.isObject()) {
+    throw Error(ErrorCode::kBadRequest, "a JSON object is expected");
+  }
+  return root;
+}
+
+auto DumpJson(const Json::Value& value) -> std::string {
+  static const auto kWriter = MakeWriter();
+  return Json::writeString(kWriter, value);
+}
+
+auto RequireString(const Json::Value& object, const char* name) -> std::string {
+  const auto& value = object[name];
+  if (!value.isString() || value.asString().empty()) {
+    ThrowBadMember(name, "must be a non-empty string");
+  }
+  return value.asString();
+}
+
+auto GetString(const Json::Value& object, const char* name,
+               const std::string& fallback) -> std::string {
+  const auto& value = object[name];
+  if (value.isNull()) {
+    return fallback;
+  }
+  if (!value.isString()) {
+    ThrowBadMember(name, "must be a string");
+  }
+  return value.asString();
+}
+
+auto GetInt(const Json::Value& object, const char* name, std::int64_t fallback,
+            std::int64_t min, std::int64_t max) -> std::int64_t {
+  return object[name].isNull() ? fallback : RequireInt(object, name, min, max);
+}
+
+auto RequireInt(const Json::Value& object, const char* name, std::int64_t min,
+                std::int64_t max) -> std::int64_t {
+  const auto& value = object[name];
+  if (!value.isInt64()) {
+    ThrowBadMember(name, "must be an integer");
+  }
+  const auto number = value.asInt64();
+  if (number < min || number > max) {
+    ThrowBadMember(name, fmt::format("must be from {} to {}", min, max));
+  }
+  return number;
+}
+
+auto GetBool(const Json::Value& object, const char* name, bool fallback)
+    -> bool {
+  const auto& value = object[name];
+  if (value.isNull()) {
+    return fallback;
+  }
+  if (!value.isBool()) {
+    ThrowBadMember(name, "must be true or false");
+  }
+  return value.asBool();
+}
+
+auto GetArray(const Json::Value& object, const char* name) -> Json::Value {
+  const auto& value = object[name];
+  if (value.isNull()) {
+    return Json::Value(Json::arrayValue);
+  }
+  if (!value.isArray()) {
+    ThrowBadMember(name, "must be an array");
+  }
+  return value;
+}
+
+auto GetObject(const Json::Value& object, const char* name) -> Json::Value {
+  const auto& value = object[name];
+  if (value.isNull()) {
+    return Json::Value(Json::objectValue);
+  }
+  if (!value.isObject()) {
+    ThrowBadMember(name, "must be an object");
+  }
+  return value;
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/log.h
@@ -0,0 +1,90 @@
+// Structured logs: numbered events on standard error, one line each.
+//
+//   LogEvent(Event::kListening, {{"address", address}});
+//
+// prints
+//
+//   time=2026-12-04T08:41:00.123Z level=info event=1001 name=listening
+//   address="127.0.0.1:7001"
+//
+// on one line. docs/EVENTS.md is the catalogue; a test holds the two equal.
+
+#ifndef LENTILSCALE_LOG_H_
+#define LENTILSCALE_LOG_H_
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace lentilscale {
+
+// How urgent an event is for an operator.
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// The numbered events. Numbers are stable: a removed event's number is not
+// used again.
+enum class Event {
+  kListening = 1001,
+  kStopping = 1002,
+  kStopped = 1003,
+  kBadSettings = 1004,
+  kStoreLost = 2001,
+  kStoreBack = 2002,
+  kStoreRelayed = 2003,
+  kMemberJoined = 2101,
+  kMemberLeft = 2102,
+  kMemberSuspected = 2103,
+  kAuthorityLost = 2201,
+  kAuthorityBack = 2202,
+  kShardClaimed = 2301,
+  kShardOpened = 2302,
+  kShardLost = 2303,
+  kShardHandedOver = 2304,
+  kTicketApplied = 2401,
+  kTicketAccepted = 2402,
+  kTicketRefused = 2403,
+  kHoldingMoved = 2501,
+  kHoldingLowered = 2502,
+  kWorkerClaimed = 3001,
+  kWorkerLost = 3002,
+  kWorkerQuarantined = 3003,
+  kWorkerLeaving = 3004,
+  kTaskLost = 3101,
+  kTaskStopped = 3102,
+  kJobAccepted = 4001,
+  kJobEnded = 4002,
+  kJobRecovered = 4003,
+  kJobNeverRunnable = 4004,
+  kBadPeerMessage = 5001,
+  kInternalError = 5002,
+};
+
+// The catalogue's entry for an event.
+struct EventInfo {
+  Event event_;
+  std::string_view name_;
+  LogLevel level_;
+};
+
+// One key and value of a log line.
+struct LogField {
+  std::string_view key_;
+  std::string value_;
+};
+
+// Returns all events in order of their numbers.
+auto EventTable() -> std::span<const EventInfo>;
+
+// Returns the name of `level`.
+auto LogLevelName(LogLevel level) -> std::string_view;
+
+// Suppresses events below `level`; the default is kInfo.
+auto SetLogLevel(LogLevel level) -> void;
+
+// Writes one line for `event` to standard error.
+auto LogEvent(Event event, std::initializer_list<LogField> fields) -> void;
+
+}  // namespace lentilscale
+
+#endif  // LENTILSCALE_LOG_H_
--- /dev/null
+++ b/lentilscale/request_table.cc
@@ -0,0 +1,96 @@
+// A map by key and a queue by age. Entries leave after the retention, and a
+// request issued longer ago than that is called unknown, so memory is bounded
+// by rate times retention without ever running a request twice. The
+// alternative, a replica of the table on another instance, costs a message per
+// request and still loses to two failures at once; the horizon does not.
+
+#include "lentilscale/request_table.h"
+
+#include <algorithm>
+
+namespace lentilscale {
+
+auto RequestTable::Open(Millis horizon) -> void {
+  horizon_ms_ = horizon;
+  entries_.clear();
+  ages_.clear();
+}
+
+auto RequestTable::OpenFrom(const RequestSnapshot& snapshot) -> void {
+  Open(snapshot.horizon_ms_);
+  for (const auto& entry : snapshot.entries_) {
+    entries_[entry.key_] = {entry.issued_ms_, entry.is_ended_, entry.answer_};
+    ages_.push_back({entry.issued_ms_, entry.key_});
+  }
+  std::sort(ages_.begin(), ages_.end(), [](const auto& a, const auto& b) {
+    return a.issued_ms_ < b.issued_ms_;
+  });
+}
+
+auto RequestTable::Begin(const RequestKey& key, Millis issued, Millis now,
+                         Millis right_until) -> RequestDecision {
+  const auto it = entries_.find(key);
+  if (it != entries_.end()) {
+    const auto kind = it->second.is_ended_ ? RequestDecision::Kind::kEnded
+                                           : RequestDecision::Kind::kRunning;
+    return {kind, it->second.answer_};
+  }
+  const auto is_too_new =
+      issued > right_until || issued > now + options_.clock_skew_ms_;
+  if (is_too_new) {
+    return {RequestDecision::Kind::kNoRight, {}};
+  }
+  const auto is_too_old =
+      issued < horizon_ms_ || issued < now - options_.retention_ms_;
+  if (is_too_old) {
+    return {RequestDecision::Kind::kUnknown, {}};
+  }
+  entries_[key] = {issued, false, {}};
+  ages_.push_back({issued, key});
+  return {RequestDecision::Kind::kFresh, {}};
+}
+
+auto RequestTable::End(const RequestKey& key, const StoredAnswer& answer)
+    -> void {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) {
+    return;
+  }
+  it->second.is_ended_ = true;
+  it->second.answer_ = answer;
+  if (answer.body_.size() > options_.stored_answer_bytes_) {
+    it->second.answer_ = {};
+  }
+}
+
+auto RequestTable::Forget(const RequestKey& key) -> void {
+  entries_.erase(key);
+}
+
+auto RequestTable::Expire(Millis now) -> void {
+  // Twice the skew covers a caller ahead and an instance behind.
+  const auto limit =
+      now - options_.retention_ms_ - 2 * options_.clock_skew_ms_;
+  while (!ages_.empty() && ages_.front().issued_ms_ < limit) {
+    const auto it = entries_.find(ages_.front().key_);
+    if (it != entries_.end() && !it->second.is_ended_) {
+      // Still running: look again after another retention.
+      ages_.push_back({now, ages_.front().key_});
+    } else if (it != entries_.end()) {
+      entries_.erase(it);
+    }
+    ages_.pop_front();
+  }
+}
+
+auto RequestTable::Snapshot() const -> RequestSnapshot {
+  RequestSnapshot out;
+  out.horizon_ms_ = horizon_ms_;
+  for (const auto& [key, entry] : entries_) {
+    out.entries_.push_back(
+        {key, entry.issued_ms_, entry.is_ended_, entry.answer_});
+  }
+  return out;
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/shard_map.cc
@@ -0,0 +1,149 @@
+// Rendezvous hashing (Thaler and Ravishankar, "Using Name-Based Mappings to
+// Increase Hit Rates", 1998) moves only the shards of a member that comes or
+// goes. On its own it spreads a few dozen shards over a few members unevenly;
+// a bound on each member's load (as in Mirrokni et al., "Consistent Hashing
+// with Bounded Loads", 2016) evens it out for a few more moves.
+
+#include "lentilscale/shard_map.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "lentilscale/error.h"
+
+namespace lentilscale {
+namespace {
+
+// A member of a group of n takes at most ceil(kLoadPercent/100 * shards / n).
+constexpr std::size_t kLoadPercent = 115;
+
+struct Group {
+  std::vector<const MemberRecord*> members_;
+  std::size_t shards_ = 0;
+};
+
+// Returns a key that is equal for shards with the same candidates.
+auto GroupKey(const ShardPlace& shard, const std::vector<MemberRecord>& members)
+    -> std::string {
+  const auto has = [&members](auto matches) {
+    return std::any_of(members.begin(), members.end(), matches);
+  };
+  if (has([&](const auto& m) { return m.data_centre_ == shard.data_centre_; })) {
+    return "data_centre/" + shard.data_centre_;
+  }
+  if (has([&](const auto& m) { return m.region_ == shard.region_; })) {
+    return "region/" + shard.region_;
+  }
+  return "any";
+}
+
+auto IsInGroup(const MemberRecord& member, const std::string& key) -> bool {
+  return key == "any" || key == "data_centre/" + member.data_centre_ ||
+         key == "region/" + member.region_;
+}
+
+auto Score(const std::string& shard, const std::string& member)
+    -> std::uint64_t {
+  return StableHash(shard, StableHash(member));
+}
+
+}  // namespace
+
+auto ShardName::ToString() const -> std::string {
+  return fmt::format("{}/{}/{}", service_, data_centre_, index_);
+}
+
+auto ShardName::FromString(std::string_view text) -> ShardName {
+  const auto first = text.find('/');
+  const auto last = text.rfind('/');
+  ShardName out;
+  const auto* end = text.data() + text.size();
+  const auto has_parts = first != std::string_view::npos && first < last;
+  if (!has_parts || std::from_chars(text.data() + last + 1, end, out.index_).ptr !=
+                        end) {
+    throw Error(ErrorCode::kBadRequest,
+                fmt::format("'{}' is not a shard name", text));
+  }
+  out.service_ = text.substr(0, first);
+  out.data_centre_ = text.substr(first + 1, last - first - 1);
+  return out;
+}
+
+auto StableHash(std::string_view text, std::uint64_t seed) -> std::uint64_t {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+auto ShardOf(const std::string& service, const std::string& data_centre,
+             const std::string& rack, std::int64_t shards_per_data_centre)
+    -> std::string {
+  const auto hash = StableHash(service + "/" + data_centre + "/" + rack);
+  const auto index =
+      hash % static_cast<std::uint64_t>(shards_per_data_centre);
+  return ShardName{service, data_centre, static_cast<std::int64_t>(index)}
+      .ToString();
+}
+
+auto AssignShards(const std::vector<ShardPlace>& shards,
+                  const std::vector<MemberRecord>& members) -> ShardAssignment {
+  ShardAssignment out;
+  if (members.empty()) {
+    return out;
+  }
+  std::map<std::string, Group, std::less<>> groups;
+  std::map<std::string, std::string, std::less<>> group_of;
+  for (const auto& shard : shards) {
+    const auto key = GroupKey(shard, members);
+    group_of[shard.shard_] = key;
+    auto& group = groups[key];
+    ++group.shards_;
+    if (!group.members_.empty()) {
+      continue;
+    }
+    for (const auto& member : members) {
+      if (IsInGroup(member, key)) {
+        group.members_.push_back(&member);
+      }
+    }
+  }
+  std::map<std::string, std::size_t, std::less<>> loads;
+  // group_of is ordered by shard, so every instance visits in the same order.
+  for (const auto& [shard, key] : group_of) {
+    const auto& group = groups[key];
+    const auto percent = kLoadPercent * group.shards_;
+    const auto divisor = 100 * group.members_.size();
+    const auto bound = (percent + divisor - 1) / divisor;
+    const MemberRecord* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto* member : group.members_) {
+      const auto score = Score(shard, member->id_);
+      const auto is_full = loads[key + "|" + member->id_] >= bound;
+      if (!is_full && (best == nullptr || score > best_score)) {
+        best = member;
+        best_score = score;
+      }
+    }
+    // The bounds of a group sum to at least its shards, so best is set.
+    ++loads[key + "|" + best->id_];
+    out[shard] = best->id_;
+  }
+  return out;
+}
+
+auto HomeShard(const std::vector<std::string>& shards, std::string_view key)
+    -> std::string {
+  const std::string* best = nullptr;
+  std::uint64_t best_score = 0;
+  for (const auto& shard : shards) {
+    const auto score = StableHash(key, StableHash(shard));
+    if (best == nullptr || score > best_score) {
+      best = &shard;
+      best_score = score;
+    }
+  }
+  return best == nullptr ? "" : *best;
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/work.cc
@@ -0,0 +1,78 @@
+// Attempt numbers contain the keeper's epoch (see job_keeper.h), so the key of
+// an attempt is never used twice, even by a keeper that knows nothing of its
+// predecessor's attempts.
+
+#include "lentilscale/work.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "lentilscale/json.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr auto kTaskEventNames =
+    std::to_array<std::string_view>({"started", "ended", "lost", "dropped"});
+
+}  // namespace
+
+auto TaskRef::FromJson(const Json::Value& object) -> TaskRef {
+  TaskRef out;
+  out.job_ = RequireString(object, "job");
+  out.index_ = RequireInt(object, "index", 0, INT64_MAX);
+  out.attempt_ = RequireInt(object, "attempt", 0, INT64_MAX);
+  out.home_ = RequireString(object, "home");
+  out.home_epoch_ = RequireInt(object, "epoch", 0, INT64_MAX);
+  return out;
+}
+
+auto TaskRef::ToJson() const -> Json::Value {
+  Json::Value out;
+  out["job"] = job_;
+  out["index"] = Json::Int64(index_);
+  out["attempt"] = Json::Int64(attempt_);
+  out["home"] = home_;
+  out["epoch"] = Json::Int64(home_epoch_);
+  return out;
+}
+
+auto TaskRef::Key() const -> std::string {
+  return fmt::format("{}/{}/{}", job_, index_, attempt_);
+}
+
+auto TaskEventKindName(TaskEventKind kind) -> std::string_view {
+  return kTaskEventNames.at(static_cast<std::size_t>(kind));
+}
+
+auto TaskEvent::FromJson(const Json::Value& object) -> TaskEvent {
+  TaskEvent out;
+  out.ref_ = TaskRef::FromJson(GetObject(object, "ref"));
+  const auto kind = RequireString(object, "kind");
+  const auto* it =
+      std::find(kTaskEventNames.begin(), kTaskEventNames.end(), kind);
+  if (it == kTaskEventNames.end()) {
+    throw Error(ErrorCode::kBadRequest, "unknown task event " + kind);
+  }
+  out.kind_ = static_cast<TaskEventKind>(it - kTaskEventNames.begin());
+  out.status_ = EndStatusFromName(GetString(object, "status", "failed"));
+  out.progress_ms_ = GetInt(object, "progress", 0, 0, INT64_MAX);
+  out.executor_ = GetString(object, "executor", "");
+  out.worker_ = GetString(object, "worker", "");
+  return out;
+}
+
+auto TaskEvent::ToJson() const -> Json::Value {
+  Json::Value out;
+  out["ref"] = ref_.ToJson();
+  out["kind"] = std::string(TaskEventKindName(kind_));
+  out["status"] = std::string(EndStatusName(status_));
+  out["progress"] = Json::Int64(progress_ms_);
+  out["executor"] = executor_;
+  out["worker"] = worker_;
+  return out;
+}
+
+}  // namespace lentilscale
