--- /dev/null
+++ b/cmd/lentilctl.cc
@@ -0,0 +1,294 @@
+// lentilctl is the command line of operators and callers.
+//
+//   lentilctl --address=IP:PORT[,IP:PORT...] --key=KEY COMMAND
+//
+//   ticket check FILE | submit FILE | show N | head | diff FILE | wait N
+//   audit | status
+//   call SERVICE JSON | queue QUEUE JSON
+//   job submit FILE | show ID | list | watch ID | cancel ID
+//   explain SERVICE | explain-task KEY
+//   key-hash KEY
+//
+// The addresses are tried in turn until one is reached. Exit codes: 0 done,
+// 1 refused or failed, 2 wrong usage, 3 no address reached or outcome unknown.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "lentilscale/configuration.h"
+#include "lentilscale/error.h"
+#include "lentilscale/http_sync.h"
+#include "lentilscale/json.h"
+#include "lentilscale/ticket_file.h"
+
+ABSL_FLAG(std::string, address, "127.0.0.1:7000",
+          "addresses of entry instances, separated by commas");
+ABSL_FLAG(std::string, key, "", "key of the team or of the operators");
+ABSL_FLAG(bool, next, false, "give the ticket the number after the head");
+ABSL_FLAG(int, timeout_ms, 15000, "longest wait, in milliseconds");
+
+namespace {
+
+using lentilscale::DumpJson;
+using lentilscale::HttpCall;
+using lentilscale::HttpOutcome;
+using lentilscale::HttpResult;
+using lentilscale::Millis;
+using lentilscale::MonotonicMs;
+using lentilscale::ParseJson;
+using lentilscale::SyncClient;
+
+using Words = std::vector<std::string>;
+
+constexpr auto kExitOk = 0;
+constexpr auto kExitRefused = 1;
+constexpr auto kExitUsage = 2;
+constexpr auto kExitUnknown = 3;
+constexpr auto kHttpOk = 200;
+constexpr auto kPollUs = 100000;
+
+class UsageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+auto Send(const std::string& method, const std::string& path,
+          const std::string& body) -> HttpResult {
+  static SyncClient client;
+  HttpResult result;
+  const std::vector<std::string> addresses =
+      absl::StrSplit(absl::GetFlag(FLAGS_address), ',');
+  for (const auto& address : addresses) {
+    result = client.Send({address, method, path, body, absl::GetFlag(FLAGS_key),
+                          absl::GetFlag(FLAGS_timeout_ms)});
+    // Another instance is asked only if the request was never sent.
+    if (result.outcome_ != HttpOutcome::kNotSent) {
+      break;
+    }
+  }
+  return result;
+}
+
+auto Print(const HttpResult& result) -> int {
+  switch (result.outcome_) {
+    case HttpOutcome::kNotSent:
+      fmt::print(stderr, "lentilctl: no address was reached\n");
+      return kExitUnknown;
+    case HttpOutcome::kUnknown:
+      fmt::print(stderr, "lentilctl: no answer; the outcome is unknown\n");
+      return kExitUnknown;
+    case HttpOutcome::kAnswered:
+      break;
+  }
+  fmt::print("{}", result.body_);
+  return result.status_ == kHttpOk ? kExitOk : kExitRefused;
+}
+
+auto Run(const std::string& method, const std::string& path,
+         const std::string& body = "") -> int {
+  return Print(Send(method, path, body));
+}
+
+auto ReadFile(const std::string& path) -> std::string {
+  std::ifstream file(path);
+  if (!file) {
+    throw UsageError(path + " cannot be read");
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+auto Word(const Words& words, std::size_t index) -> std::string {
+  if (index >= words.size()) {
+    throw UsageError("a word is missing; see --help");
+  }
+  return words[index];
+}
+
+auto MakeNonce() -> std::string {
+  std::random_device device;
+  return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
+}
+
+auto ReadTicket(const std::string& path) -> Json::Value {
+  auto ticket = lentilscale::ReadTicketFile(path);
+  if (!ticket.ok()) {
+    throw UsageError(std::string(ticket.status().message()));
+  }
+  if (absl::GetFlag(FLAGS_next)) {
+    const auto head = Send("GET", "/v1/tickets/head", "");
+    if (head.status_ == kHttpOk) {
+      (*ticket)["number"] =
+          Json::Int64(ParseJson(head.body_)["number"].asInt64() + 1);
+    }
+  }
+  return *ticket;
+}
+
+// A submission whose answer was lost is sent again with the same nonce, which
+// tells whether the first was accepted.
+auto SubmitTicket(const std::string& path) -> int {
+  auto ticket = ReadTicket(path);
+  if (!ticket.isMember("nonce")) {
+    ticket["nonce"] = MakeNonce();
+  }
+  const auto deadline = MonotonicMs() + absl::GetFlag(FLAGS_timeout_ms);
+  auto result = Send("POST", "/v1/tickets", DumpJson(ticket));
+  const auto is_unclear = [&result] {
+    return result.outcome_ == HttpOutcome::kUnknown || result.status_ == 503;
+  };
+  while (is_unclear() && MonotonicMs() < deadline) {
+    usleep(kPollUs);
+    result = Send("POST", "/v1/tickets", DumpJson(ticket));
+  }
+  return Print(result);
+}
+
+auto WaitInForce(const std::string& number) -> int {
+  const auto deadline = MonotonicMs() + absl::GetFlag(FLAGS_timeout_ms);
+  HttpResult result;
+  while (true) {
+    result = Send("GET", "/v1/tickets/" + number + "/in_force", "");
+    const auto is_in_force = result.status_ == kHttpOk &&
+                             ParseJson(result.body_)["in_force"].asBool();
+    if (is_in_force) {
+      return Print(result);
+    }
+    if (MonotonicMs() >= deadline) {
+      Print(result);
+      return kExitRefused;
+    }
+    usleep(kPollUs);
+  }
+}
+
+auto RunTicket(const Words& words) -> int {
+  const auto verb = Word(words, 1);
+  if (verb == "head") {
+    return Run("GET", "/v1/tickets/head");
+  }
+  const auto argument = Word(words, 2);
+  if (verb == "check" || verb == "diff") {
+    return Run("POST", "/v1/tickets/check", DumpJson(ReadTicket(argument)));
+  }
+  if (verb == "submit") {
+    return SubmitTicket(argument);
+  }
+  if (verb == "show") {
+    return Run("GET", "/v1/tickets/" + argument);
+  }
+  if (verb == "wait") {
+    return WaitInForce(argument);
+  }
+  throw UsageError("unknown verb: ticket " + verb);
+}
+
+auto WatchJob(const std::string& id) -> int {
+  const auto deadline = MonotonicMs() + absl::GetFlag(FLAGS_timeout_ms);
+  std::string last;
+  while (true) {
+    const auto result = Send("GET", "/v1/jobs/" + id, "");
+    if (result.outcome_ == HttpOutcome::kAnswered && result.body_ != last) {
+      last = result.body_;
+      fmt::print("{}", last);
+      fflush(stdout);
+    }
+    if (result.status_ == kHttpOk &&
+        ParseJson(result.body_)["state"] != "active") {
+      return kExitOk;
+    }
+    const auto is_final = result.status_ == 404 || result.status_ == 401;
+    if (is_final || MonotonicMs() >= deadline) {
+      return kExitRefused;
+    }
+    usleep(kPollUs);
+  }
+}
+
+auto RunJob(const Words& words) -> int {
+  const auto verb = Word(words, 1);
+  if (verb == "list") {
+    return Run("GET", "/v1/jobs");
+  }
+  const auto argument = Word(words, 2);
+  if (verb == "submit") {
+    return Run("POST", "/v1/jobs", ReadFile(argument));
+  }
+  if (verb == "show") {
+    return Run("GET", "/v1/jobs/" + argument);
+  }
+  if (verb == "watch") {
+    return WatchJob(argument);
+  }
+  if (verb == "cancel") {
+    return Run("DELETE", "/v1/jobs/" + argument);
+  }
+  throw UsageError("unknown verb: job " + verb);
+}
+
+auto RunCommand(const Words& words) -> int {
+  const auto command = Word(words, 0);
+  if (command == "ticket") {
+    return RunTicket(words);
+  }
+  if (command == "job") {
+    return RunJob(words);
+  }
+  if (command == "audit" || command == "status") {
+    return Run("GET", "/v1/" + command);
+  }
+  if (command == "call") {
+    return Run("POST", "/v1/services/" + Word(words, 1) + "/calls",
+               Word(words, 2));
+  }
+  if (command == "queue") {
+    return Run("POST", "/v1/queues/" + Word(words, 1) + "/calls",
+               Word(words, 2));
+  }
+  if (command == "explain") {
+    return Run("GET", "/v1/explain?service=" + Word(words, 1));
+  }
+  if (command == "explain-task") {
+    return Run("GET", "/v1/explain?task=" + Word(words, 1));
+  }
+  if (command == "key-hash") {
+    fmt::print("{}\n", lentilscale::Sha256Hex(Word(words, 1)));
+    return kExitOk;
+  }
+  throw UsageError("unknown command: " + command);
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  absl::SetProgramUsageMessage(
+      "lentilctl [--address=IP:PORT,...] [--key=KEY] COMMAND\n"
+      "  ticket check|diff|submit FILE, ticket show|wait N, ticket head\n"
+      "  audit, status\n"
+      "  call SERVICE JSON, queue QUEUE JSON\n"
+      "  job submit FILE, job show|watch|cancel ID, job list\n"
+      "  explain SERVICE, explain-task KEY\n"
+      "  key-hash KEY");
+  const auto args = absl::ParseCommandLine(argc, argv);
+  const Words words(args.begin() + 1, args.end());
+  try {
+    return RunCommand(words);
+  } catch (const UsageError& e) {
+    fmt::print(stderr, "lentilctl: {}\n", e.what());
+    return kExitUsage;
+  } catch (const std::exception& e) {
+    fmt::print(stderr, "lentilctl: {}\n", e.what());
+    return kExitRefused;
+  }
+}
--- /dev/null
+++ b/cmd/lentild.cc
@@ -0,0 +1,113 @@
+// lentild runs one entry instance of lentilscale.
+//
+//   lentild --settings=/etc/lentilscale/lentild.ini
+//   lentild --embedded            a store and four workers within the process
+//   lentild --check-settings --settings=FILE
+//   lentild --print-default-settings
+//
+// SIGTERM and SIGINT hand everything over, finish what is open and exit 0.
+// Exit code 2 means that the settings are wrong, 1 that a port is taken.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <uv.h>
+
+#include <string>
+
+#include "lentilscale/log.h"
+#include "lentilscale/node.h"
+#include "lentilscale/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "path of the INI file with the settings");
+ABSL_FLAG(bool, embedded, false,
+          "run a store and a handful of workers within the process");
+ABSL_FLAG(bool, check_settings, false, "check the settings and exit");
+ABSL_FLAG(bool, print_default_settings, false,
+          "print the default settings as an INI file and exit");
+ABSL_FLAG(bool, print_settings_table, false,
+          "print the settings as a Markdown table and exit");
+
+namespace {
+
+using lentilscale::Event;
+using lentilscale::LogEvent;
+using lentilscale::Node;
+using lentilscale::Settings;
+
+constexpr auto kExitPortTaken = 1;
+constexpr auto kExitBadSettings = 2;
+
+auto LoadSettings() -> absl::StatusOr<Settings> {
+  const auto path = absl::GetFlag(FLAGS_settings);
+  if (!path.empty()) {
+    return Settings::FromFile(path);
+  }
+  if (absl::GetFlag(FLAGS_embedded)) {
+    return Settings::FromText(Settings::DefaultText(), "defaults");
+  }
+  return absl::InvalidArgumentError("--settings or --embedded is needed");
+}
+
+auto ParseLogLevel(const std::string& name) -> lentilscale::LogLevel {
+  using lentilscale::LogLevel;
+  for (const auto level : {LogLevel::kDebug, LogLevel::kInfo,
+                           LogLevel::kWarning, LogLevel::kError}) {
+    if (LogLevelName(level) == name) {
+      return level;
+    }
+  }
+  return LogLevel::kInfo;
+}
+
+auto OnSignal(uv_signal_t* handle, int /*number*/) -> void {
+  auto* node = static_cast<Node*>(handle->data);
+  node->Drain([handle] { uv_stop(handle->loop); });
+}
+
+auto Run(const Settings& settings) -> int {
+  signal(SIGPIPE, SIG_IGN);
+  auto* loop = uv_default_loop();
+  auto node = Node::Create(loop, settings, absl::GetFlag(FLAGS_embedded));
+  if (!node.ok()) {
+    fmt::print(stderr, "lentild: {}\n", std::string(node.status().message()));
+    return kExitPortTaken;
+  }
+  uv_signal_t signals[2];
+  const int numbers[2] = {SIGTERM, SIGINT};
+  for (auto i = 0; i < 2; ++i) {
+    uv_signal_init(loop, &signals[i]);
+    signals[i].data = node->get();
+    uv_signal_start(&signals[i], OnSignal, numbers[i]);
+  }
+  uv_run(loop, UV_RUN_DEFAULT);
+  return 0;
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  absl::SetProgramUsageMessage("runs one entry instance of lentilscale");
+  absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_print_default_settings)) {
+    fmt::print("{}", Settings::DefaultText());
+    return 0;
+  }
+  if (absl::GetFlag(FLAGS_print_settings_table)) {
+    fmt::print("{}", Settings::Markdown());
+    return 0;
+  }
+  const auto settings = LoadSettings();
+  if (!settings.ok()) {
+    fmt::print(stderr, "lentild: {}\n", std::string(settings.status().message()));
+    return kExitBadSettings;
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    fmt::print("settings are valid\n");
+    return 0;
+  }
+  lentilscale::SetLogLevel(ParseLogLevel(settings->log_level_));
+  return Run(*settings);
+}
--- a/lentilscale/authority.cc
+++ b/lentilscale/authority.cc
@@ -9,11 +9,17 @@
 
 namespace lentilscale {
 
+auto Authority::OnRegistered(Millis sent) -> void {
+  registered_ms_ = sent;
+  renewed_ms_ = sent;
+}
+
 auto Authority::OnRenewed(Millis sent) -> void {
   renewed_ms_ = std::max(renewed_ms_, sent);
 }
 
 auto Authority::OnConfigurationRead(Millis sent, std::int64_t ticket) -> void {
+  read_ms_ = std::max(read_ms_, sent);
   configuration_ms_ = std::max(configuration_ms_, sent);
   ticket_ = std::max(ticket_, ticket);
 }
@@ -57,12 +63,11 @@
 }
 
 auto Authority::RightsUntil() const -> Millis {
-  if (renewed_ms_ == 0) {
+  if (renewed_ms_ == 0 || read_ms_ < registered_ms_) {
     return 0;
   }
-  // Rights also rest on knowing the latest shards, which are read together
-  // with the configuration.
-  const auto by_store = std::min(renewed_ms_, configuration_ms_);
+  // Rights also rest on knowing who owns which shard.
+  const auto by_store = std::min(renewed_ms_, read_ms_);
   const auto confirmed = std::max(by_store, UnanimousAt());
   return confirmed + options_.lease_ms_ - options_.drift_ms_;
 }
--- a/lentilscale/authority.h
+++ b/lentilscale/authority.h
@@ -48,6 +48,10 @@
 
   explicit Authority(const Options& options) : options_(options) {}
 
+  // The member record was written under a new lease by a call sent at `sent`.
+  // Shards may have been lost before, so rights wait for a reading after it.
+  auto OnRegistered(Millis sent) -> void;
+
   // The store renewed the member lease by a call sent at `sent`.
   auto OnRenewed(Millis sent) -> void;
 
@@ -78,7 +82,11 @@
 
   Options options_;
   bool has_store_ = false;
+  Millis registered_ms_ = 0;
   Millis renewed_ms_ = 0;
+  // When shards and configuration were last read from the store.
+  Millis read_ms_ = 0;
+  // When the configuration was last confirmed, by the store or a peer.
   Millis configuration_ms_ = 0;
   std::int64_t ticket_ = 0;
   std::set<std::string> peers_;
--- /dev/null
+++ b/lentilscale/call_router.h
@@ -0,0 +1,139 @@
+// Routes calls: from the instance that a caller reached, by way of the
+// request's home if it is non-idempotent, to the instance that executes it.
+//
+//   router.Route(call, [](const HomeReply& reply) { ... answer the caller ... });
+//
+// The paths between instances are /peer/v1/home and /peer/v1/execute. An
+// executor is chosen by the free room that members report in heartbeats, near
+// before far, and by what they hold of the team's limit.
+
+#ifndef LENTILSCALE_CALL_ROUTER_H_
+#define LENTILSCALE_CALL_ROUTER_H_
+
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lentilscale/executor.h"
+#include "lentilscale/holding_desk.h"
+#include "lentilscale/home_desk.h"
+#include "lentilscale/members.h"
+#include "lentilscale/peer_link.h"
+#include "lentilscale/retry_budget.h"
+#include "lentilscale/shard_owner.h"
+
+namespace lentilscale {
+
+// A call on its way.
+struct Call {
+  static auto FromJson(const Json::Value& object, Millis now) -> Call;
+  // Deadlines travel as the time left.
+  auto ToJson(Millis now) const -> Json::Value;
+
+  std::string team_;
+  std::string service_;
+  std::string request_id_;
+  bool is_idempotent_ = true;
+  bool is_urgent_ = false;
+  // Wall-clock time at which the caller first issued the request.
+  Millis issued_ms_ = 0;
+  // How often the caller has sent the request, this time included; 0 if it
+  // does not say.
+  std::int64_t attempt_ = 0;
+  // Monotonic time of this instance.
+  Millis deadline_ms_ = 0;
+  std::string work_class_;
+  Resources need_;
+  Json::Value payload_;
+};
+
+// The router of one instance.
+class CallRouter {
+ public:
+  using Done = HomeDesk::Done;
+
+  struct Options {
+    std::string self_id_;
+    std::string region_;
+    std::string data_centre_;
+    std::int64_t attempts_ = 3;
+    RetryBudget::Options retry_;
+    // Waiting calls per slot in the own region above which calls cross to
+    // another region that has free room.
+    double cross_region_backlog_ = 1.0;
+    std::uint64_t seed_ = 1;
+  };
+
+  CallRouter(uv_loop_t* loop, PeerLink* link, Members* members, StoreView* view,
+             ShardOwner* owner, Executor* executor, HomeDesk* homes,
+             HoldingDesk* holdings, Metrics* metrics,
+             std::function<Millis()> rights_until, const Options& options);
+
+  // Routes a call that this instance has admitted.
+  auto Route(const Call& call, Done done) -> void;
+
+  // Returns the members' ids in the order in which this call would try them.
+  auto Candidates(const Call& call) -> std::vector<std::string>;
+
+  // Sends the ends of requests whose home moved meanwhile to their new homes.
+  auto Tick() -> void;
+
+  auto open_routes() const -> std::int64_t { return open_routes_; }
+
+ private:
+  struct Execution {
+    Call call_;
+    std::function<void(const CallOutcome&)> done_;
+    std::int64_t attempts_ = 0;
+    std::set<std::string> tried_;
+  };
+
+  struct MovedEnd {
+    std::string shard_;
+    RequestKey key_;
+    HomeReply reply_;
+    int sent_ = 0;
+  };
+
+  auto RouteHome(const Call& call, Done done) -> void;
+  auto OnHomeRefused(const Call& call, Done done, const HomeReply& reply)
+      -> void;
+  auto HandleHome(const std::string& shard, const Call& call, Done done)
+      -> void;
+  auto RunAtHome(const std::string& shard, const Call& call, const Done& done)
+      -> void;
+  auto Execute(std::shared_ptr<Execution> execution) -> void;
+  auto ExecuteHere(const Call& call,
+                   std::function<void(const CallOutcome&)> done) -> void;
+  auto OnExecuted(std::shared_ptr<Execution> execution,
+                  const CallOutcome& outcome) -> void;
+  auto Finish(const CallOutcome& outcome) const -> HomeReply;
+  auto RightsUntilWall() const -> Millis;
+  auto OnRequestEnded(const Json::Value& params) -> Json::Value;
+
+  uv_loop_t* loop_;
+  PeerLink* link_;
+  Members* members_;
+  StoreView* view_;
+  ShardOwner* owner_;
+  Executor* executor_;
+  HomeDesk* homes_;
+  HoldingDesk* holdings_;
+  Metrics* metrics_;
+  std::function<Millis()> rights_until_;
+  Options options_;
+  RetryBudget retry_budget_;
+  std::mt19937_64 random_;
+  std::int64_t next_call_ = 0;
+  std::int64_t open_routes_ = 0;
+  std::vector<MovedEnd> moved_ends_;
+};
+
+// Returns the reply for a refusal with a code of the table.
+auto MakeRefusalReply(ErrorCode code, const std::string& reason) -> HomeReply;
+
+}  // namespace lentilscale
+
+#endif  // LENTILSCALE_CALL_ROUTER_H_
--- /dev/null
+++ b/lentilscale/executor.cc
@@ -0,0 +1,601 @@
+// This file holds the shards, the sessions and what a session's answers mean;
+// executor_dispatch.cc holds the way of work from submission to its end.
+//
+// The worker's answers are the truth about what runs. After each answer the
+// executor's tables are brought into line with it, and whatever cannot be told
+// from it is asked for by cancelling: a key that the worker then reports as
+// never started is proved not to have run.
+
+#include "lentilscale/executor.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "lentilscale/error.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+#include "lentilscale/shard_map.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr auto kHttpOk = 200;
+constexpr auto kHttpConflict = 409;
+constexpr auto kSessionPath = "/v1/session";
+// Connections kept free for sessions and starts.
+constexpr std::int64_t kReservedConnections = 4;
+// Period of asking again about a call whose connection broke.
+constexpr Millis kResolvePeriodMs = 100;
+constexpr int kFailuresBeforeClosing = 2;
+
+}  // namespace
+
+Executor::Executor(uv_loop_t* loop, HttpClient* client, Metrics* metrics,
+                   const Options& options, Hooks hooks)
+    : loop_(loop),
+      client_(client),
+      metrics_(metrics),
+      options_(options),
+      hooks_(std::move(hooks)),
+      retry_budget_(options.retry_),
+      health_(options.health_) {}
+
+auto Executor::HasRights() const -> bool {
+  return hooks_.rights_until_() > MonotonicMs();
+}
+
+auto Executor::SchedulerOf(const std::string& service) -> Scheduler& {
+  auto& scheduler = schedulers_[service];
+  if (scheduler == nullptr) {
+    scheduler = std::make_unique<Scheduler>(options_.scheduler_);
+    for (const auto& [name, team] : configuration_.teams_) {
+      scheduler->SetShare(name, team.share_);
+    }
+  }
+  return *scheduler;
+}
+
+auto Executor::FindScheduler(const std::string& service) -> Scheduler* {
+  const auto it = schedulers_.find(service);
+  return it == schedulers_.end() ? nullptr : it->second.get();
+}
+
+auto Executor::ShardOfWorker(const WorkerInfo& info) const -> std::string {
+  const auto* service = configuration_.FindService(info.service_);
+  return service == nullptr
+             ? ""
+             : ShardOf(info.service_, info.data_centre_, info.rack_,
+                       service->shards_per_data_centre_);
+}
+
+auto Executor::SetConfiguration(const Configuration& configuration) -> void {
+  configuration_ = configuration;
+  for (auto& [service, scheduler] : schedulers_) {
+    for (const auto& [name, team] : configuration.teams_) {
+      scheduler->SetShare(name, team.share_);
+    }
+  }
+}
+
+auto Executor::SetUsable(const std::string& team, const std::string& shard,
+                         std::int64_t amount) -> void {
+  if (shards_.contains(shard)) {
+    SchedulerOf(ShardName::FromString(shard).service_)
+        .SetUsable(team, shard, amount);
+    SchedulePump();
+  }
+}
+
+auto Executor::SetWorkers(const std::vector<WorkerInfo>& workers) -> void {
+  listed_.clear();
+  for (const auto& info : workers) {
+    listed_[info.id_] = info;
+    const auto shard = ShardOfWorker(info);
+    if (!shards_.contains(shard)) {
+      continue;
+    }
+    const auto session = sessions_.find(info.id_);
+    if (session == sessions_.end()) {
+      AddSession(info, shard);
+      continue;
+    }
+    if (info.is_leaving_ && !session->second.info().is_leaving_) {
+      LogEvent(Event::kWorkerLeaving, {{"worker", info.id_}});
+    }
+    session->second.SetLeaving(info.is_leaving_);
+    UpdateOpen(info.id_);
+  }
+}
+
+auto Executor::OpenShard(const std::string& shard, std::int64_t epoch,
+                         Millis previous_until) -> void {
+  DropShard(shard);
+  shards_[shard] = {epoch, previous_until, false, false};
+  for (const auto& [id, info] : listed_) {
+    if (ShardOfWorker(info) == shard) {
+      AddSession(info, shard);
+    }
+  }
+  CheckShardOpen(shard);
+}
+
+auto Executor::CloseShard(const std::string& shard) -> void {
+  const auto it = shards_.find(shard);
+  if (it == shards_.end()) {
+    return;
+  }
+  it->second.is_closed_ = true;
+  for (const auto& [id, session] : sessions_) {
+    if (session.shard() == shard) {
+      UpdateOpen(id);
+    }
+  }
+}
+
+auto Executor::ReopenShard(const std::string& shard) -> void {
+  const auto it = shards_.find(shard);
+  if (it == shards_.end()) {
+    return;
+  }
+  it->second.is_closed_ = false;
+  for (const auto& [id, session] : sessions_) {
+    if (session.shard() == shard) {
+      UpdateOpen(id);
+    }
+  }
+}
+
+auto Executor::DropShard(const std::string& shard) -> void {
+  shards_.erase(shard);
+  std::vector<std::string> workers;
+  for (const auto& [id, session] : sessions_) {
+    if (session.shard() == shard) {
+      workers.push_back(id);
+    }
+  }
+  for (const auto& worker : workers) {
+    RemoveSession(worker);
+  }
+}
+
+auto Executor::IsShardOpen(const std::string& shard) const -> bool {
+  const auto it = shards_.find(shard);
+  return it != shards_.end() && it->second.is_open_ && !it->second.is_closed_;
+}
+
+auto Executor::HasUnansweredStarts(const std::string& shard) const -> bool {
+  const auto is_in_shard = [this, &shard](const std::string& worker) {
+    const auto it = sessions_.find(worker);
+    return it != sessions_.end() && it->second.shard() == shard;
+  };
+  for (const auto& [key, task] : tasks_) {
+    if (task.phase_ == TaskPhase::kStarting && is_in_shard(task.worker_)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+auto Executor::AddSession(const WorkerInfo& info, const std::string& shard)
+    -> void {
+  const auto& state = shards_.at(shard);
+  sessions_.emplace(info.id_,
+                    WorkerSession(info, shard, state.epoch_, options_.session_,
+                                  state.previous_until_));
+}
+
+// The tasks that run on the worker go on; its next owner learns of them from
+// the worker. Calls in flight keep their connections and their callers.
+auto Executor::RemoveSession(const std::string& worker) -> void {
+  const auto it = sessions_.find(worker);
+  if (it == sessions_.end()) {
+    return;
+  }
+  const auto service = it->second.info().service_;
+  SchedulerOf(service).RemoveWorker(worker);
+  sessions_.erase(it);
+  std::erase_if(tasks_, [&worker](const auto& item) {
+    return item.second.phase_ != TaskPhase::kQueued &&
+           item.second.worker_ == worker;
+  });
+}
+
+auto Executor::UpdateOpen(const std::string& worker) -> void {
+  const auto it = sessions_.find(worker);
+  if (it == sessions_.end()) {
+    return;
+  }
+  const auto& session = it->second;
+  const auto listed = listed_.find(worker);
+  const auto is_listed_live =
+      listed != listed_.end() && !listed->second.is_leaving_;
+  const auto is_open = IsShardOpen(session.shard()) && is_listed_live &&
+                       session.phase() == WorkerSession::Phase::kReady &&
+                       session.failures() < kFailuresBeforeClosing &&
+                       !health_.IsQuarantined(worker, MonotonicMs());
+  SchedulerOf(session.info().service_).SetOpen(worker, is_open);
+  if (is_open) {
+    SchedulePump();
+  }
+}
+
+auto Executor::CheckShardOpen(const std::string& shard) -> void {
+  const auto it = shards_.find(shard);
+  if (it == shards_.end() || it->second.is_open_) {
+    return;
+  }
+  for (const auto& [id, session] : sessions_) {
+    if (session.shard() == shard &&
+        session.phase() == WorkerSession::Phase::kClaiming) {
+      return;
+    }
+  }
+  it->second.is_open_ = true;
+  LogEvent(Event::kShardOpened,
+           {{"shard", shard}, {"epoch", std::to_string(it->second.epoch_)}});
+  for (const auto& [id, session] : sessions_) {
+    if (session.shard() == shard) {
+      UpdateOpen(id);
+    }
+  }
+  hooks_.on_shard_open_(shard);
+}
+
+auto Executor::RenewDue(Millis now) -> void {
+  if (!HasRights()) {
+    return;
+  }
+  std::vector<std::string> due;
+  std::vector<std::string> lost;
+  for (auto& [id, session] : sessions_) {
+    if (session.IsDue(now)) {
+      due.push_back(id);
+    }
+    if (session.TakeLost(now)) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto& worker : due) {
+    Renew(worker);
+  }
+  for (const auto& worker : lost) {
+    OnWorkerLost(worker);
+  }
+}
+
+auto Executor::Renew(const std::string& worker) -> void {
+  auto& session = sessions_.at(worker);
+  const auto sent = MonotonicMs();
+  const auto body = DumpJson(session.Begin(sent).ToJson());
+  const auto epoch = session.epoch();
+  metrics_->Add(Counter::kWorkerBytesOut,
+                static_cast<std::int64_t>(body.size()));
+  client_->Send({session.info().address_, "POST", kSessionPath, body, "",
+                 options_.worker_timeout_ms_},
+                [this, worker, epoch, sent](const HttpResult& result) {
+                  OnSessionResult(worker, epoch, sent, result);
+                });
+}
+
+auto Executor::OnSessionResult(const std::string& worker, std::int64_t epoch,
+                               Millis sent, const HttpResult& result) -> void {
+  metrics_->Add(Counter::kWorkerBytesIn,
+                static_cast<std::int64_t>(result.body_.size()));
+  const auto it = sessions_.find(worker);
+  if (it == sessions_.end() || it->second.epoch() != epoch) {
+    return;
+  }
+  auto& session = it->second;
+  if (result.outcome_ == HttpOutcome::kAnswered &&
+      result.status_ == kHttpConflict) {
+    const auto shard = session.shard();
+    session.OnFailure(MonotonicMs());
+    hooks_.on_stale_shard_(shard);
+    return;
+  }
+  if (result.outcome_ != HttpOutcome::kAnswered || result.status_ != kHttpOk) {
+    session.OnFailure(MonotonicMs());
+    UpdateOpen(worker);
+    return;
+  }
+  SessionAnswer answer;
+  try {
+    answer = SessionAnswer::FromJson(ParseJson(result.body_));
+  } catch (const Error& e) {
+    LogEvent(Event::kBadPeerMessage,
+             {{"worker", worker}, {"problem", e.what()}});
+    session.OnFailure(MonotonicMs());
+    return;
+  }
+  const auto is_first = session.phase() != WorkerSession::Phase::kReady;
+  session.OnAnswer(answer, MonotonicMs());
+  ApplyAnswer(worker, answer, sent, is_first);
+  CheckShardOpen(session.shard());
+  UpdateOpen(worker);
+}
+
+auto Executor::ApplyAnswer(const std::string& worker,
+                           const SessionAnswer& answer, Millis sent,
+                           bool is_first) -> void {
+  auto& session = sessions_.at(worker);
+  auto& scheduler = SchedulerOf(session.info().service_);
+  if (is_first) {
+    LogEvent(Event::kWorkerClaimed,
+             {{"worker", worker}, {"epoch", std::to_string(session.epoch())}});
+    const auto& info = session.info();
+    auto capacity = info.capacity_;
+    capacity.slots_ =
+        std::min(capacity.slots_, info.connections_ - kReservedConnections);
+    scheduler.AddWorker(
+        {info.id_, session.shard(), info.rack_, info.data_centre_, capacity});
+  }
+  for (const auto& running : answer.running_) {
+    AdoptRunning(worker, running);
+  }
+  for (const auto& ended : answer.ended_) {
+    ApplyEnded(worker, ended);
+  }
+  FindMissing(worker, answer, sent);
+}
+
+auto Executor::AdoptRunning(const std::string& worker,
+                            const RunningTask& running) -> void {
+  const auto now = MonotonicMs();
+  auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
+  const auto call = calls_.find(running.key_);
+  if (call != calls_.end()) {
+    if (call->second.phase_ == CallPhase::kResolving) {
+      sessions_.at(worker).RenewBy(now + kResolvePeriodMs);
+    }
+    return;
+  }
+  const auto task = tasks_.find(running.key_);
+  if (task != tasks_.end()) {
+    if (task->second.phase_ == TaskPhase::kStarting) {
+      task->second.phase_ = TaskPhase::kRunning;
+      hooks_.on_task_event_({std::get<TaskWork>(task->second.work_.kind_).ref_,
+                             TaskEventKind::kStarted, EndStatus::kOk, 0, "",
+                             worker});
+    }
+    task->second.confirmed_ms_ = now;
+    sizes_.OnUsage(task->second.work_.item_.team_,
+                   task->second.work_.work_class_, running.used_);
+    return;
+  }
+  if (!running.tag_.isObject() || scheduler.FindOccupant(running.key_)) {
+    return;
+  }
+  // Started by an earlier owner: take it over as it is.
+  Work work = WorkFromTag(running.key_, running.tag_);
+  Occupant occupant{worker,          work.item_.team_,  work.item_.group_,
+                    work.item_.lane_, work.item_.need_, now,
+                    work.item_.lane_ == Lane::kBatch};
+  scheduler.Occupy(running.key_, occupant, now);
+  if (std::holds_alternative<TaskWork>(work.kind_)) {
+    TaskState state{std::move(work), TaskPhase::kRunning, worker, now, 0};
+    hooks_.on_task_event_({std::get<TaskWork>(state.work_.kind_).ref_,
+                           TaskEventKind::kStarted, EndStatus::kOk, 0, "",
+                           worker});
+    tasks_.emplace(running.key_, std::move(state));
+  }
+}
+
+auto Executor::ApplyEnded(const std::string& worker, const EndedTask& ended)
+    -> void {
+  if (calls_.contains(ended.key_)) {
+    ApplyEndedCall(worker, ended);
+    return;
+  }
+  const auto pending = events_.find(ended.key_);
+  if (pending != events_.end()) {
+    pending->second.worker_ = worker;
+    return;
+  }
+  const auto task = tasks_.find(ended.key_);
+  TaskRef ref;
+  if (task != tasks_.end()) {
+    ref = std::get<TaskWork>(task->second.work_.kind_).ref_;
+    sizes_.OnUsage(task->second.work_.item_.team_,
+                   task->second.work_.work_class_, ended.used_);
+    if (ended.status_ == EndStatus::kOutOfMemory) {
+      sizes_.OnOutOfMemory(task->second.work_.item_.team_,
+                           task->second.work_.work_class_,
+                           task->second.work_.item_.need_);
+    }
+  } else if (ended.tag_.isObject() && ended.tag_.isMember("ref")) {
+    ref = TaskRef::FromJson(ended.tag_["ref"]);
+  } else {
+    // A call of an earlier owner, or an end that was recorded already.
+    sessions_.at(worker).Acknowledge(ended.key_);
+    return;
+  }
+  const auto kind = ended.status_ == EndStatus::kNeverStarted
+                        ? TaskEventKind::kDropped
+                        : TaskEventKind::kEnded;
+  FinishTask(ended.key_,
+             {ref, kind, ended.status_, ended.progress_ms_, "", worker});
+}
+
+// The answer came with the session instead of the call's own connection: that
+// one is silent or broken.
+auto Executor::ApplyEndedCall(const std::string& worker, const EndedTask& ended)
+    -> void {
+  auto& call = calls_.at(ended.key_);
+  sessions_.at(worker).Acknowledge(ended.key_);
+  if (ended.status_ == EndStatus::kNeverStarted) {
+    RetryCall(ended.key_, ErrorCode::kNoRoom, "the worker did not take it");
+    return;
+  }
+  CallOutcome outcome;
+  outcome.worker_ = worker;
+  outcome.wait_ms_ = call.placed_ms_ - call.work_.item_.enqueued_ms_;
+  const auto has_answer = ended.status_ == EndStatus::kOk ||
+                          ended.status_ == EndStatus::kFailed;
+  outcome.kind_ = has_answer ? CallOutcome::Kind::kAnswered
+                             : CallOutcome::Kind::kUnknown;
+  outcome.reason_ = has_answer ? "" : "the worker stopped it";
+  outcome.answer_ = ended.answer_;
+  FinishCall(ended.key_, std::move(outcome));
+}
+
+// Whatever was known to run before the question was sent and is in neither
+// list of the answer has stopped, for example because the worker restarted.
+auto Executor::FindMissing(const std::string& worker,
+                           const SessionAnswer& answer, Millis sent) -> void {
+  std::set<std::string> present;
+  for (const auto& task : answer.running_) {
+    present.insert(task.key_);
+  }
+  for (const auto& task : answer.ended_) {
+    present.insert(task.key_);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, task] : tasks_) {
+    const auto is_known_running = task.phase_ == TaskPhase::kRunning ||
+                                  task.phase_ == TaskPhase::kStopping;
+    if (task.worker_ == worker && is_known_running &&
+        task.confirmed_ms_ < sent && !present.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const auto& key : missing) {
+    const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
+    LogEvent(Event::kTaskLost, {{"task", key}, {"worker", worker}});
+    FinishTask(key, {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "",
+                     worker});
+  }
+  auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
+  for (const auto& key : scheduler.OccupantsOf(worker)) {
+    const auto is_ours = calls_.contains(key) || tasks_.contains(key) ||
+                         key.starts_with(kHoldKeyPrefix);
+    if (!is_ours && !present.contains(key)) {
+      scheduler.Release(key, MonotonicMs());
+    }
+  }
+}
+
+auto Executor::OnWorkerLost(const std::string& worker) -> void {
+  LogEvent(Event::kWorkerLost, {{"worker", worker}});
+  std::vector<std::string> tasks;
+  std::vector<std::string> calls;
+  for (const auto& [key, task] : tasks_) {
+    if (task.phase_ != TaskPhase::kQueued && task.worker_ == worker) {
+      tasks.push_back(key);
+    }
+  }
+  for (const auto& [key, call] : calls_) {
+    if (call.phase_ != CallPhase::kQueued && call.worker_ == worker) {
+      calls.push_back(key);
+    }
+  }
+  for (const auto& key : tasks) {
+    const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
+    FinishTask(key, {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "",
+                     worker});
+  }
+  for (const auto& key : calls) {
+    CallOutcome outcome;
+    outcome.reason_ = "its worker was lost";
+    FinishCall(key, std::move(outcome));
+  }
+  const auto shard = sessions_.at(worker).shard();
+  SchedulerOf(sessions_.at(worker).info().service_).RemoveWorker(worker);
+  if (!listed_.contains(worker)) {
+    RemoveSession(worker);
+  }
+  CheckShardOpen(shard);
+}
+
+auto Executor::OnHealth(const std::string& worker, const std::string& group,
+                        bool is_ok) -> void {
+  if (health_.OnEnd(worker, group, is_ok, MonotonicMs())) {
+    LogEvent(Event::kWorkerQuarantined, {{"worker", worker}});
+  }
+  UpdateOpen(worker);
+}
+
+auto Executor::TasksOfHome(const std::string& home) const
+    -> std::vector<KnownTask> {
+  std::vector<KnownTask> out;
+  for (const auto& [key, task] : tasks_) {
+    const auto& ref = std::get<TaskWork>(task.work_.kind_).ref_;
+    if (ref.home_ == home) {
+      out.push_back({ref, task.phase_ != TaskPhase::kQueued, task.worker_});
+    }
+  }
+  // Ends that the keeper has not recorded count as known: they will be told.
+  for (const auto& [key, pending] : events_) {
+    if (pending.event_.ref_.home_ == home) {
+      out.push_back({pending.event_.ref_, true, pending.worker_});
+    }
+  }
+  return out;
+}
+
+auto Executor::Loads() const -> std::vector<ServiceLoad> {
+  std::vector<ServiceLoad> out;
+  for (const auto& [service, scheduler] : schedulers_) {
+    out.push_back({service, std::max<std::int64_t>(scheduler->FreeSlots(), 0),
+                   scheduler->QueueSize(),
+                   scheduler->OpenCapacity().slots_});
+  }
+  return out;
+}
+
+auto Executor::OpenShards() const -> std::vector<std::string> {
+  std::vector<std::string> out;
+  for (const auto& [shard, state] : shards_) {
+    if (state.is_open_ && !state.is_closed_) {
+      out.push_back(shard);
+    }
+  }
+  return out;
+}
+
+auto Executor::open_workers() const -> std::int64_t {
+  std::int64_t count = 0;
+  for (const auto& [id, session] : sessions_) {
+    count += session.phase() == WorkerSession::Phase::kReady ? 1 : 0;
+  }
+  return count;
+}
+
+auto Executor::running() const -> std::int64_t {
+  const auto is_running = [](const auto& item) {
+    return item.second.phase_ != TaskPhase::kQueued;
+  };
+  return std::count_if(tasks_.begin(), tasks_.end(), is_running) +
+         static_cast<std::int64_t>(calls_.size());
+}
+
+auto Executor::Explain(const std::string& key) const -> std::string {
+  const auto describe = [this, &key](const Work& work, bool is_queued,
+                                     const std::string& worker) {
+    if (!is_queued) {
+      return fmt::format("it runs on worker {}", worker);
+    }
+    const auto it = schedulers_.find(work.service_);
+    const auto reason = it == schedulers_.end()
+                            ? WaitReason::kNoOpenWorker
+                            : it->second->Explain(key);
+    return fmt::format("it waits in lane {}: {}",
+                       LaneName(work.item_.lane_), WaitReasonText(reason));
+  };
+  const auto task = tasks_.find(key);
+  if (task != tasks_.end()) {
+    return describe(task->second.work_,
+                    task->second.phase_ == TaskPhase::kQueued,
+                    task->second.worker_);
+  }
+  const auto call = calls_.find(key);
+  if (call != calls_.end()) {
+    return describe(call->second.work_,
+                    call->second.phase_ == CallPhase::kQueued,
+                    call->second.worker_);
+  }
+  return "";
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/job_dispatch.cc
@@ -0,0 +1,327 @@
+// How a keeper spreads tasks over executors.
+//
+// Executors get a little more than they have room for, so that a slot that
+// frees is filled at once, and the rest waits here, where it can still go
+// anywhere. An all-at-once job first holds room, member by member in the order
+// of their ids, which rules out that two jobs wait for each other in a circle;
+// what it holds is released after a bounded time if the whole cannot be had.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "lentilscale/job_keeper.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+#include "lentilscale/timer.h"
+
+namespace lentilscale {
+namespace {
+
+// Tasks queued at an executor beyond its free room, as a part of its slots.
+constexpr std::int64_t kBacklogDivisor = 8;
+constexpr std::int64_t kLeastBacklog = 2;
+constexpr std::size_t kTasksPerOffer = 256;
+constexpr Millis kHoldTtlMs = 3000;
+constexpr Millis kGangBackoffMs = 300;
+constexpr std::int64_t kMaxBackoffRounds = 6;
+
+}  // namespace
+
+auto JobKeeper::AllowanceOf(const std::string& member,
+                            const std::string& service) -> std::int64_t {
+  const auto* state = members_->Find(member);
+  if (state == nullptr || !members_->IsReachable(member, MonotonicMs())) {
+    return 0;
+  }
+  for (const auto& load : state->digest_.loads_) {
+    if (load.service_ == service && load.slots_ > 0) {
+      const auto backlog =
+          std::max(load.slots_ / kBacklogDivisor, kLeastBacklog);
+      const auto room = load.free_slots_ + backlog - load.queued_;
+      return room - outstanding_[member + "|" + service];
+    }
+  }
+  return 0;
+}
+
+auto JobKeeper::ExecutorsFor(const std::string& service)
+    -> std::vector<std::string> {
+  struct Scored {
+    std::string id_;
+    std::int64_t allowance_;
+  };
+  std::vector<Scored> scored;
+  for (const auto* state : members_->Listed()) {
+    const auto& id = state->record_.id_;
+    const auto allowance = AllowanceOf(id, service);
+    if (allowance > 0 && !state->digest_.is_draining_) {
+      scored.push_back({id, allowance});
+    }
+  }
+  std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+    return a.allowance_ > b.allowance_;
+  });
+  std::vector<std::string> out;
+  for (const auto& item : scored) {
+    out.push_back(item.id_);
+  }
+  return out;
+}
+
+auto JobKeeper::OfferPending(Entry& entry, Millis /*now*/) -> void {
+  auto pending = entry.job_.PendingTasks(kTasksPerOffer, WallMs());
+  if (pending.empty()) {
+    return;
+  }
+  const auto& service = entry.job_.spec().service_;
+  const auto executors = ExecutorsFor(service);
+  if (executors.empty()) {
+    return;
+  }
+  std::map<std::string, std::int64_t, std::less<>> running;
+  if (entry.job_.spec().kind_ == JobKind::kService) {
+    for (const auto& task : entry.job_.tasks()) {
+      ++running[task.executor_];
+    }
+  }
+  std::map<std::string, std::vector<std::int64_t>, std::less<>> by_member;
+  for (const auto index : pending) {
+    std::string best;
+    std::int64_t best_score = 0;
+    for (const auto& member : executors) {
+      const auto allowance = AllowanceOf(member, service);
+      if (allowance <= 0) {
+        continue;
+      }
+      // Services go where fewest of their tasks are, other work where most
+      // room is.
+      const auto score = entry.job_.spec().kind_ == JobKind::kService
+                             ? 1'000'000 - running[member]
+                             : allowance;
+      if (best.empty() || score > best_score) {
+        best = member;
+        best_score = score;
+      }
+    }
+    if (best.empty()) {
+      break;
+    }
+    by_member[best].push_back(index);
+    ++outstanding_[best + "|" + service];
+    ++running[best];
+  }
+  for (const auto& [member, indexes] : by_member) {
+    Offer(entry, member, indexes, "");
+  }
+}
+
+auto JobKeeper::Offer(Entry& entry, const std::string& member,
+                      const std::vector<std::int64_t>& indexes,
+                      const std::string& hold) -> void {
+  auto& job = entry.job_;
+  Json::Value params;
+  MakeClaim(job.home()).AddTo(params);
+  params["spec"] = job.spec().ToJson();
+  params["lane"] = static_cast<int>(job.Lane());
+  params["hold"] = hold;
+  std::vector<std::int64_t> attempts;
+  for (const auto index : indexes) {
+    const auto attempt = NextAttempt(job.home());
+    attempts.push_back(attempt);
+    job.OnOffered(index, attempt, member, WallMs());
+    Json::Value item;
+    item["index"] = Json::Int64(index);
+    item["attempt"] = Json::Int64(attempt);
+    item["progress"] = Json::Int64(job.task(index).progress_ms_);
+    params["tasks"].append(item);
+  }
+  const auto id = job.spec().id_;
+  const auto* state = members_->Find(member);
+  const auto address = state == nullptr ? "" : state->record_.address_;
+  link_->Call(address, kOfferTasks, params,
+              [this, id, member, indexes, attempts](const PeerAnswer& answer) {
+                OnOfferAnswered(id, member, indexes, attempts, answer);
+              });
+}
+
+auto JobKeeper::OnOfferAnswered(const std::string& id,
+                                const std::string& /*member*/,
+                                const std::vector<std::int64_t>& indexes,
+                                const std::vector<std::int64_t>& attempts,
+                                const PeerAnswer& answer) -> void {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return;
+  }
+  auto& entry = it->second;
+  const auto is_refused = answer.body_.isMember("error");
+  if (!answer.is_ok_ && !answer.is_not_sent_ && !is_refused) {
+    // Some tasks may have been queued; only asking tells.
+    entry.wants_sweep_ = true;
+    return;
+  }
+  std::set<std::int64_t> accepted;
+  if (answer.is_ok_) {
+    for (const auto& index : answer.body_["accepted"]) {
+      accepted.insert(index.asInt64());
+    }
+  }
+  for (std::size_t i = 0; i < indexes.size(); ++i) {
+    if (!accepted.contains(indexes[i])) {
+      entry.job_.OnOfferRefused(indexes[i], attempts[i], WallMs());
+    }
+  }
+}
+
+auto JobKeeper::StopTasks(Entry& entry) -> void {
+  const auto& job = entry.job_;
+  std::map<std::string, std::vector<std::string>, std::less<>> by_member;
+  for (const auto index : job.TasksToStop()) {
+    auto& task = entry.job_.task(index);
+    const auto epoch = homes_.contains(job.home()) ? homes_[job.home()].epoch_ : 0;
+    by_member[task.executor_].push_back(job.MakeRef(index, epoch).Key());
+    task.is_stopping_ = true;
+  }
+  for (const auto& [member, keys] : by_member) {
+    const auto* state = members_->Find(member);
+    if (state == nullptr) {
+      continue;
+    }
+    Json::Value params;
+    for (const auto& key : keys) {
+      params["tasks"].append(key);
+    }
+    link_->Call(state->record_.address_, kStopTasks, params,
+                [](const PeerAnswer& /*answer*/) {});
+  }
+}
+
+auto JobKeeper::TickGang(Entry& entry, Millis now) -> void {
+  auto& gang = entry.gang_;
+  const auto counts = entry.job_.Counts();
+  const auto wanted = entry.job_.spec().count_ - counts.done_;
+  const auto is_ready = counts.pending_ == wanted && wanted > 0 &&
+                        entry.job_.state() == JobState::kActive &&
+                        static_cast<std::int64_t>(
+                            entry.job_.PendingTasks(
+                                static_cast<std::size_t>(wanted), WallMs())
+                                .size()) == wanted;
+  switch (gang.phase_) {
+    case HoldPhase::kNone:
+      if (is_ready && now >= gang.not_before_ms_) {
+        gang.phase_ = HoldPhase::kAsking;
+        gang.started_ms_ = now;
+        gang.next_ = 0;
+        gang.held_.clear();
+        gang.members_.clear();
+        ++gang.rounds_;
+        gang.hold_ = fmt::format("{}/{}", entry.job_.spec().id_,
+                                 NextAttempt(entry.job_.home()));
+        for (const auto* state : members_->Listed()) {
+          if (!state->digest_.is_draining_) {
+            gang.members_.push_back(state->record_.id_);
+          }
+        }
+        AskNextHold(entry.job_.spec().id_);
+      }
+      break;
+    case HoldPhase::kAsking:
+      break;
+    case HoldPhase::kHeld:
+      if (!is_ready || now - gang.started_ms_ > options_.hold_ms_) {
+        ReleaseGang(entry, now);
+      } else {
+        // Holds grow as room frees; ask again for what is lacking.
+        gang.phase_ = HoldPhase::kAsking;
+        gang.next_ = 0;
+        gang.held_.clear();
+        AskNextHold(entry.job_.spec().id_);
+      }
+      break;
+  }
+}
+
+auto JobKeeper::AskNextHold(const std::string& id) -> void {
+  auto& entry = jobs_.at(id);
+  auto& gang = entry.gang_;
+  const auto wanted = entry.job_.spec().count_ - entry.job_.Counts().done_;
+  std::int64_t held = 0;
+  for (const auto part : gang.held_) {
+    held += part;
+  }
+  if (held >= wanted) {
+    StartGang(entry);
+    return;
+  }
+  if (gang.next_ >= gang.members_.size()) {
+    gang.phase_ = HoldPhase::kHeld;
+    return;
+  }
+  const auto* state = members_->Find(gang.members_[gang.next_]);
+  Json::Value params;
+  MakeClaim(entry.job_.home()).AddTo(params);
+  params["hold"] = gang.hold_;
+  params["spec"] = entry.job_.spec().ToJson();
+  params["lane"] = static_cast<int>(entry.job_.Lane());
+  params["count"] = Json::Int64(wanted - held);
+  params["ttl_ms"] = Json::Int64(kHoldTtlMs);
+  const auto hold = gang.hold_;
+  link_->Call(state == nullptr ? "" : state->record_.address_, kHoldRoom, params,
+              [this, id, hold](const PeerAnswer& answer) {
+                OnHoldAnswered(id, hold, answer);
+              });
+}
+
+auto JobKeeper::OnHoldAnswered(const std::string& id, const std::string& hold,
+                               const PeerAnswer& answer) -> void {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.gang_.hold_ != hold ||
+      it->second.gang_.phase_ != HoldPhase::kAsking) {
+    return;
+  }
+  auto& gang = it->second.gang_;
+  gang.held_.push_back(
+      answer.is_ok_ ? GetInt(answer.body_, "held", 0, 0, INT64_MAX) : 0);
+  ++gang.next_;
+  AskNextHold(id);
+}
+
+auto JobKeeper::StartGang(Entry& entry) -> void {
+  auto& gang = entry.gang_;
+  const auto count = entry.job_.spec().count_;
+  const auto pending =
+      entry.job_.PendingTasks(static_cast<std::size_t>(count), WallMs());
+  std::size_t next = 0;
+  for (std::size_t i = 0; i < gang.held_.size(); ++i) {
+    std::vector<std::int64_t> indexes;
+    for (std::int64_t n = 0; n < gang.held_[i] && next < pending.size(); ++n) {
+      indexes.push_back(pending[next++]);
+    }
+    if (!indexes.empty()) {
+      Offer(entry, gang.members_[i], indexes, gang.hold_);
+    }
+  }
+  gang.phase_ = HoldPhase::kNone;
+  gang.rounds_ = 0;
+}
+
+auto JobKeeper::ReleaseGang(Entry& entry, Millis now) -> void {
+  auto& gang = entry.gang_;
+  Json::Value params;
+  params["hold"] = gang.hold_;
+  for (const auto& member : gang.members_) {
+    const auto* state = members_->Find(member);
+    if (state != nullptr) {
+      link_->Call(state->record_.address_, kReleaseHold, params,
+                  [](const PeerAnswer& /*answer*/) {});
+    }
+  }
+  gang.phase_ = HoldPhase::kNone;
+  // Random, so that two jobs that hold each other's room do not meet again.
+  const auto shift = std::min(gang.rounds_, kMaxBackoffRounds);
+  std::uniform_int_distribution<Millis> wait(0, kGangBackoffMs << shift);
+  gang.not_before_ms_ = now + wait(random_);
+}
+
+}  // namespace lentilscale
--- a/lentilscale/members.cc
+++ b/lentilscale/members.cc
@@ -43,6 +43,7 @@
     load.service_ = RequireString(item, "s");
     load.free_slots_ = GetInt(item, "f", 0, 0, kMaxCount);
     load.queued_ = GetInt(item, "q", 0, 0, kMaxCount);
+    load.slots_ = GetInt(item, "c", 0, 0, kMaxCount);
     out.loads_.push_back(load);
   }
   return out;
@@ -62,6 +63,7 @@
     item["s"] = load.service_;
     item["f"] = Json::Int64(load.free_slots_);
     item["q"] = Json::Int64(load.queued_);
+    item["c"] = Json::Int64(load.slots_);
     out["loads"].append(item);
   }
   return out;
@@ -91,6 +93,7 @@
         !state.is_listed_ && now - state.missing_since_ms_ > options_.forget_ms_;
     it = is_forgotten ? members_.erase(it) : std::next(it);
   }
+  changed_ms_ = changes.empty() ? changed_ms_ : now;
   return changes;
 }
 
@@ -144,6 +147,16 @@
   return it == members_.end() ? nullptr : &it->second;
 }
 
+auto Members::Others() const -> std::vector<const MemberState*> {
+  std::vector<const MemberState*> out;
+  for (const auto& [id, state] : members_) {
+    if (id != self_id_) {
+      out.push_back(&state);
+    }
+  }
+  return out;
+}
+
 auto Members::Listed() const -> std::vector<const MemberState*> {
   std::vector<const MemberState*> out;
   for (const auto& [id, state] : members_) {
--- a/lentilscale/members.h
+++ b/lentilscale/members.h
@@ -41,6 +41,8 @@
   std::string service_;
   std::int64_t free_slots_ = 0;
   std::int64_t queued_ = 0;
+  // Slots of open workers, free or not.
+  std::int64_t slots_ = 0;
 };
 
 // What a member tells in a heartbeat.
@@ -117,6 +119,13 @@
 
   auto Find(const std::string& id) const -> const MemberState*;
 
+  // Returns all members that are remembered, listed or not, without the
+  // instance itself.
+  auto Others() const -> std::vector<const MemberState*>;
+
+  // Returns when the list of members last changed.
+  auto changed_ms() const -> Millis { return changed_ms_; }
+
   // Returns the members that the store lists, itself included, by id.
   auto Listed() const -> std::vector<const MemberState*>;
 
@@ -132,6 +141,7 @@
   std::string self_id_;
   Options options_;
   bool is_draining_ = false;
+  Millis changed_ms_ = 0;
   std::map<std::string, MemberState, std::less<>> members_;
 };
 
--- a/lentilscale/request_table.cc
+++ b/lentilscale/request_table.cc
@@ -73,8 +73,10 @@
       now - options_.retention_ms_ - 2 * options_.clock_skew_ms_;
   while (!ages_.empty() && ages_.front().issued_ms_ < limit) {
     const auto it = entries_.find(ages_.front().key_);
-    if (it != entries_.end() && !it->second.is_ended_) {
-      // Still running: look again after another retention.
+    const auto may_run = it != entries_.end() && !it->second.is_ended_ &&
+                         it->second.issued_ms_ >= now - options_.longest_run_ms_;
+    if (may_run) {
+      // Look again after another retention.
       ages_.push_back({now, ages_.front().key_});
     } else if (it != entries_.end()) {
       entries_.erase(it);
--- a/lentilscale/request_table.h
+++ b/lentilscale/request_table.h
@@ -79,6 +79,9 @@
   struct Options {
     Millis retention_ms_ = 60000;
     Millis clock_skew_ms_ = 500;
+    // Longest time that a request can run; an entry that has not ended by then
+    // was lost with an earlier owner.
+    Millis longest_run_ms_ = 600000;
     std::size_t stored_answer_bytes_ = 16384;
   };
 
--- a/lentilscale/scheduler.cc
+++ b/lentilscale/scheduler.cc
@@ -513,6 +513,41 @@
   return OccupyItem(item, *worker, now);
 }
 
+auto Scheduler::OccupantsOf(const std::string& worker) const
+    -> std::vector<std::string> {
+  const auto it = worker_index_.find(worker);
+  return it == worker_index_.end() ? std::vector<std::string>()
+                                   : workers_[it->second].occupants_;
+}
+
+auto Scheduler::TakeOver(const std::string& hold, const WorkItem& item,
+                         Millis now) -> std::optional<Placement> {
+  const auto* occupant = FindOccupant(hold);
+  if (occupant == nullptr) {
+    return std::nullopt;
+  }
+  const auto index = worker_index_[occupant->worker_];
+  Release(hold, now);
+  return OccupyItem(item, index, now);
+}
+
+auto Scheduler::UrgentItems() const -> std::vector<WorkItem> {
+  std::vector<WorkItem> out;
+  for (const auto& [name, team] : teams_) {
+    for (const auto& key : team.lanes_[LaneIndex(Lane::kUrgent)].keys_) {
+      out.push_back(items_.at(key));
+    }
+  }
+  return out;
+}
+
+auto Scheduler::SetStopping(const std::string& key) -> void {
+  const auto it = occupants_.find(key);
+  if (it != occupants_.end()) {
+    it->second.can_preempt_ = false;
+  }
+}
+
 auto Scheduler::ChooseVictims(const WorkItem& item, Millis now) const
     -> std::vector<std::string> {
   const auto team_it = teams_.find(item.team_);
@@ -588,36 +623,44 @@
   return keys;
 }
 
+auto Scheduler::DemandFor(const WorkItem& item, std::int64_t count) const
+    -> std::optional<LimitDemand> {
+  const auto it = teams_.find(item.team_);
+  LimitDemand demand{item.team_, "", count, item.enqueued_ms_};
+  std::int64_t best_free = 0;
+  for (const auto& worker : workers_) {
+    const auto is_limited =
+        it == teams_.end() || !HasLimitRoom(it->second, worker.shard_);
+    if (worker.is_open_ && item.need_.FitsIn(worker.free_) && is_limited &&
+        worker.free_.slots_ > best_free) {
+      best_free = worker.free_.slots_;
+      demand.shard_ = worker.info_.shard_;
+    }
+  }
+  return demand.shard_.empty() ? std::nullopt : std::optional(demand);
+}
+
 auto Scheduler::LimitDemands() const -> std::vector<LimitDemand> {
   std::vector<LimitDemand> out;
   if (open_free_slots_ <= 0) {
     return out;
   }
   for (const auto& [name, team] : teams_) {
-    if (team.waiting_ == 0) {
-      continue;
-    }
-    LimitDemand demand{name, "", team.waiting_, INT64_MAX};
-    const WorkItem* head = nullptr;
+    const WorkItem* oldest = nullptr;
     for (const auto& lane : team.lanes_) {
       if (lane.keys_.empty()) {
         continue;
       }
       const auto& item = items_.at(lane.keys_.front());
-      head = head == nullptr ? &item : head;
-      demand.oldest_ms_ = std::min(demand.oldest_ms_, item.enqueued_ms_);
-    }
-    std::int64_t best_free = 0;
-    for (const auto& worker : workers_) {
-      if (worker.is_open_ && head->need_.FitsIn(worker.free_) &&
-          worker.free_.slots_ > best_free &&
-          !HasLimitRoom(team, worker.shard_)) {
-        best_free = worker.free_.slots_;
-        demand.shard_ = worker.info_.shard_;
+      if (oldest == nullptr || item.enqueued_ms_ < oldest->enqueued_ms_) {
+        oldest = &item;
       }
     }
-    if (!demand.shard_.empty()) {
-      out.push_back(demand);
+    if (oldest == nullptr) {
+      continue;
+    }
+    if (auto demand = DemandFor(*oldest, team.waiting_)) {
+      out.push_back(std::move(*demand));
     }
   }
   return out;
--- a/lentilscale/scheduler.h
+++ b/lentilscale/scheduler.h
@@ -166,18 +166,32 @@
       -> void;
   auto Release(const std::string& key, Millis now) -> void;
   auto FindOccupant(const std::string& key) const -> const Occupant*;
+  auto OccupantsOf(const std::string& worker) const
+      -> std::vector<std::string>;
+  // Gives the room of occupant `hold` to `item`.
+  auto TakeOver(const std::string& hold, const WorkItem& item, Millis now)
+      -> std::optional<Placement>;
 
   // Returns occupants whose stopping would make room for `item` at the least
   // loss of work, or nothing if that is impossible.
   auto ChooseVictims(const WorkItem& item, Millis now) const
       -> std::vector<std::string>;
 
+  // Returns urgent items that wait, oldest first within each team.
+  auto UrgentItems() const -> std::vector<WorkItem>;
+  // Excludes an occupant that is being stopped from further choices.
+  auto SetStopping(const std::string& key) -> void;
+
   // Returns the youngest stoppable occupants of a team in a shard that exceed
   // what it may use.
   auto OverLimit(const std::string& team, const std::string& shard) const
       -> std::vector<std::string>;
 
   auto LimitDemands() const -> std::vector<LimitDemand>;
+  // Returns the demand of `count` further items like `item`, if only the limit
+  // stands against them.
+  auto DemandFor(const WorkItem& item, std::int64_t count) const
+      -> std::optional<LimitDemand>;
   auto Explain(const std::string& key) const -> WaitReason;
   auto TeamLoads(Millis now) -> std::vector<TeamLoad>;
 
--- a/lentilscale/settings.h
+++ b/lentilscale/settings.h
@@ -39,6 +39,7 @@
 
   std::string listen_address_ = "127.0.0.1";
   std::int64_t listen_port_ = 7000;
+  std::int64_t peer_port_ = 7001;
   std::string advertise_address_;
   std::string data_centre_ = "home-a";
   std::string region_ = "home";
@@ -51,6 +52,9 @@
   std::string platform_address_ = "127.0.0.1:2379";
   Millis platform_poll_ms_ = 500;
 
+  std::string peer_key_;
+  std::string operator_key_sha256_;
+
   std::int64_t member_lease_s_ = 2;
   Millis heartbeat_ms_ = 400;
   Millis suspect_ms_ = 1200;
@@ -62,7 +66,6 @@
   std::int64_t worker_connections_ = 64;
   Millis connection_idle_ms_ = 3000;
 
-  std::int64_t racks_per_shard_ = 2;
   std::int64_t shard_moves_per_s_ = 4;
 
   std::int64_t max_body_bytes_ = 262144;
--- /dev/null
+++ b/lentilscale/shard_owner.cc
@@ -0,0 +1,362 @@
+// Claims of one tick share a transaction, so that taking over a dead member's
+// shards costs one write and not one per shard. If another claimant won any of
+// them the transaction fails as a whole, and the next claims go one by one.
+
+#include "lentilscale/shard_owner.h"
+
+#include <fmt/format.h>
+
+#include "lentilscale/error.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr std::size_t kClaimBatch = 64;
+constexpr auto kTakeShardPath = "/peer/v1/take_shard";
+constexpr Millis kPassTimeoutMs = 1500;
+constexpr Millis kFreezeTimeoutMs = 2000;
+constexpr auto kHttpOk = 200;
+
+}  // namespace
+
+ShardOwner::ShardOwner(Store* store, StoreView* view, Members* members,
+                       PeerLink* link, Executor* executor, HomeDesk* homes,
+                       Metrics* metrics, const Options& options, Hooks hooks)
+    : store_(store),
+      view_(view),
+      members_(members),
+      link_(link),
+      executor_(executor),
+      homes_(homes),
+      metrics_(metrics),
+      options_(options),
+      hooks_(std::move(hooks)) {
+  link_->AddRequest(kTakeShardPath, [this](const Json::Value& body,
+                                           PeerLink::Responder respond) {
+    OnTakeShard(body, std::move(respond));
+  });
+}
+
+auto ShardOwner::HasRights() const -> bool {
+  return hooks_.rights_until_() > MonotonicMs();
+}
+
+auto ShardOwner::SetWorkers(const std::vector<WorkerInfo>& workers,
+                            const Configuration& configuration) -> void {
+  for (const auto& info : workers) {
+    const auto* service = configuration.FindService(info.service_);
+    if (service == nullptr) {
+      continue;
+    }
+    const auto shard = ShardOf(info.service_, info.data_centre_, info.rack_,
+                               service->shards_per_data_centre_);
+    places_[shard] = {shard, info.data_centre_, info.region_};
+  }
+}
+
+auto ShardOwner::Owns(const std::string& shard) const -> bool {
+  const auto it = owned_.find(shard);
+  return it != owned_.end() && it->second.phase_ == Phase::kOwned;
+}
+
+auto ShardOwner::EpochOf(const std::string& shard) const -> std::int64_t {
+  const auto it = owned_.find(shard);
+  return it == owned_.end() ? 0 : it->second.epoch_;
+}
+
+auto ShardOwner::owned() const -> std::vector<std::string> {
+  std::vector<std::string> out;
+  for (const auto& [shard, state] : owned_) {
+    out.push_back(shard);
+  }
+  return out;
+}
+
+auto ShardOwner::Tick(Millis now) -> void {
+  const auto elapsed = std::min<Millis>(now - last_tick_ms_, 1000);
+  last_tick_ms_ = now;
+  move_tokens_ = std::min(
+      move_tokens_ + static_cast<double>(elapsed * options_.moves_per_s_) / 1000,
+      static_cast<double>(options_.moves_per_s_));
+  for (const auto& [shard, record] : view_->shards()) {
+    if (places_.contains(shard)) {
+      continue;
+    }
+    // Its workers are not listed now; the region is unknown but unneeded.
+    places_[shard] = {shard, ShardName::FromString(shard).data_centre_, ""};
+  }
+  std::vector<ShardPlace> places;
+  for (const auto& [shard, place] : places_) {
+    places.push_back(place);
+  }
+  targets_ = AssignShards(places, members_->Candidates());
+  std::vector<ShardRecord> claims;
+  for (const auto& place : places) {
+    TickShard(place.shard_, now, claims);
+  }
+  if (!claims.empty()) {
+    Claim(std::move(claims));
+  }
+}
+
+auto ShardOwner::TickShard(const std::string& shard, Millis now,
+                           std::vector<ShardRecord>& claims) -> void {
+  const auto* record = view_->FindShard(shard);
+  const auto owned = owned_.find(shard);
+  const auto is_named = record != nullptr && record->owner_ == options_.self_id_;
+  if (owned != owned_.end()) {
+    if (!is_named) {
+      Lose(shard);
+    } else if (record->epoch_ > owned->second.epoch_) {
+      // An own claim whose answer was lost; the table is still complete.
+      const auto snapshot = homes_->Snapshot(shard);
+      Take(*record, true, &snapshot);
+      hooks_.on_frozen_(shard, false);
+    } else {
+      TickOwned(shard, owned->second, now);
+    }
+    return;
+  }
+  if (claiming_.contains(shard) || !HasRights()) {
+    return;
+  }
+  if (is_named) {
+    TakeNamed(*record);
+    return;
+  }
+  const auto target = targets_.find(shard);
+  const auto is_target =
+      target != targets_.end() && target->second == options_.self_id_;
+  const auto is_free =
+      record == nullptr || members_->IsGone(record->owner_, now);
+  if (is_target && is_free && claims.size() < claim_batch_) {
+    claims.push_back(MakeClaim(shard, record));
+  }
+}
+
+// The store names this instance although no answer said so. After a claim the
+// record's horizon covers what is not known; after a hand-over the table that
+// came with it does.
+auto ShardOwner::TakeNamed(const ShardRecord& record) -> void {
+  const auto it = passed_.find(record.shard_);
+  if (it != passed_.end() && it->second.epoch_ == record.epoch_) {
+    const auto snapshot = std::move(it->second.snapshot_);
+    passed_.erase(it);
+    Take(record, true, &snapshot);
+    return;
+  }
+  Take(record, true, nullptr);
+}
+
+auto ShardOwner::MakeClaim(const std::string& shard,
+                           const ShardRecord* old) const -> ShardRecord {
+  ShardRecord record;
+  record.shard_ = shard;
+  record.owner_ = options_.self_id_;
+  record.address_ = options_.self_address_;
+  record.epoch_ = old == nullptr ? 1 : old->epoch_ + 1;
+  // Requests whose home another shard was until now may still be sent there by
+  // instances that have not read the new record, for up to a lease.
+  const auto margin = old == nullptr
+                          ? options_.lease_ms_ + options_.clock_skew_ms_
+                          : options_.clock_skew_ms_;
+  record.horizon_ms_ = WallMs() + margin;
+  record.mod_revision_ = old == nullptr ? 0 : old->mod_revision_;
+  return record;
+}
+
+auto ShardOwner::Claim(std::vector<ShardRecord> claims) -> void {
+  StoreTxn txn;
+  for (const auto& record : claims) {
+    claiming_.insert(record.shard_);
+    txn.IfModRevision(ShardKey(record.shard_), record.mod_revision_)
+        .Put(ShardKey(record.shard_), DumpJson(record.ToJson()));
+  }
+  store_->Commit(txn, [this, claims](const StoreResult& result) {
+    OnClaimed(claims, result);
+  });
+}
+
+auto ShardOwner::OnClaimed(const std::vector<ShardRecord>& claims,
+                           const StoreResult& result) -> void {
+  for (const auto& record : claims) {
+    claiming_.erase(record.shard_);
+  }
+  // After a lost answer or a lost race the next reading tells who owns what.
+  view_->PollSoon();
+  if (result.outcome_ != StoreOutcome::kAnswered || !result.succeeded_) {
+    claim_batch_ = 1;
+    return;
+  }
+  claim_batch_ = kClaimBatch;
+  for (auto record : claims) {
+    const auto had_owner = record.mod_revision_ != 0;
+    record.mod_revision_ = result.revision_;
+    view_->OnShard(record);
+    metrics_->Add(Counter::kShardsTakenOver, had_owner ? 1 : 0);
+    Take(record, had_owner, nullptr);
+  }
+}
+
+auto ShardOwner::Take(const ShardRecord& record, bool has_previous,
+                      const RequestSnapshot* snapshot) -> void {
+  const auto now = MonotonicMs();
+  const auto& shard = record.shard_;
+  LogEvent(Event::kShardClaimed,
+           {{"shard", shard}, {"epoch", std::to_string(record.epoch_)}});
+  owned_[shard] = {record.epoch_, Phase::kOwned, "", now};
+  if (snapshot != nullptr) {
+    homes_->OpenFrom(shard, *snapshot);
+  } else {
+    homes_->Open(shard, record.horizon_ms_);
+  }
+  // The previous owner's last answer from a worker came before now.
+  const auto previous_until =
+      has_previous ? now + options_.session_ms_ + options_.clock_skew_ms_ : 0;
+  executor_->OpenShard(shard, record.epoch_, previous_until);
+  hooks_.on_owned_(shard, record.epoch_);
+}
+
+auto ShardOwner::Lose(const std::string& shard) -> void {
+  const auto was_passing = owned_.at(shard).phase_ == Phase::kPassing;
+  LogEvent(was_passing ? Event::kShardHandedOver : Event::kShardLost,
+           {{"shard", shard}});
+  metrics_->Add(Counter::kShardsHandedOver, was_passing ? 1 : 0);
+  owned_.erase(shard);
+  executor_->DropShard(shard);
+  homes_->Close(shard);
+  hooks_.on_lost_(shard);
+}
+
+auto ShardOwner::TickOwned(const std::string& shard, Owned& owned, Millis now)
+    -> void {
+  switch (owned.phase_) {
+    case Phase::kOwned: {
+      // While the list of members is changing, or lacks this instance, it says
+      // little about where shards should be.
+      const auto is_settled =
+          now - members_->changed_ms() >= options_.settle_ms_;
+      const auto target = targets_.find(shard);
+      const auto should_move = target != targets_.end() &&
+                               target->second != options_.self_id_ &&
+                               members_->IsReachable(target->second, now) &&
+                               (is_settled || is_draining_);
+      const auto may_move = move_tokens_ >= 1 || is_draining_;
+      if (should_move && may_move && HasRights()) {
+        move_tokens_ -= 1;
+        owned.phase_ = Phase::kFreezing;
+        owned.target_ = target->second;
+        owned.since_ms_ = now;
+        executor_->CloseShard(shard);
+        homes_->SetFrozen(shard, true);
+        hooks_.on_frozen_(shard, true);
+      }
+      break;
+    }
+    case Phase::kFreezing:
+      if (!executor_->HasUnansweredStarts(shard) ||
+          now - owned.since_ms_ > kFreezeTimeoutMs) {
+        Pass(shard, owned, now);
+      }
+      break;
+    case Phase::kPassing:
+      break;
+    case Phase::kReclaiming:
+      if (!claiming_.contains(shard) && HasRights()) {
+        Reclaim(shard, now);
+      }
+      break;
+  }
+}
+
+auto ShardOwner::Pass(const std::string& shard, Owned& owned, Millis now)
+    -> void {
+  owned.phase_ = Phase::kPassing;
+  owned.since_ms_ = now;
+  const auto* target = members_->Find(owned.target_);
+  Json::Value body;
+  body["shard"] = shard;
+  body["epoch"] = Json::Int64(owned.epoch_);
+  body["revision"] = Json::Int64(view_->FindShard(shard)->mod_revision_);
+  body["table"] = SnapshotToJson(homes_->Snapshot(shard));
+  const auto address = target == nullptr ? "" : target->record_.address_;
+  link_->Ask(address, kTakeShardPath, body, kPassTimeoutMs,
+             [this, shard](const PeerAnswer& answer) {
+               view_->PollSoon();
+               const auto it = owned_.find(shard);
+               if (it == owned_.end() || it->second.phase_ != Phase::kPassing) {
+                 return;
+               }
+               if (!answer.is_ok_) {
+                 it->second.phase_ = Phase::kReclaiming;
+               }
+             });
+}
+
+auto ShardOwner::Reclaim(const std::string& shard, Millis /*now*/) -> void {
+  const auto* old = view_->FindShard(shard);
+  auto record = *old;
+  record.epoch_ = old->epoch_ + 1;
+  StoreTxn txn;
+  claiming_.insert(shard);
+  txn.IfModRevision(ShardKey(shard), old->mod_revision_)
+      .Put(ShardKey(shard), DumpJson(record.ToJson()));
+  store_->Commit(txn, [this, record](const StoreResult& result) {
+    claiming_.erase(record.shard_);
+    view_->PollSoon();
+    if (result.outcome_ != StoreOutcome::kAnswered || !result.succeeded_ ||
+        !owned_.contains(record.shard_)) {
+      return;
+    }
+    auto claimed = record;
+    claimed.mod_revision_ = result.revision_;
+    view_->OnShard(claimed);
+    // The table is still this instance's own and complete.
+    const auto snapshot = homes_->Snapshot(record.shard_);
+    Take(claimed, true, &snapshot);
+    hooks_.on_frozen_(record.shard_, false);
+  });
+}
+
+auto ShardOwner::OnTakeShard(const Json::Value& body,
+                             PeerLink::Responder respond) -> void {
+  const auto shard = RequireString(body, "shard");
+  const auto snapshot = SnapshotFromJson(GetObject(body, "table"));
+  if (!HasRights() || claiming_.contains(shard)) {
+    throw Error(ErrorCode::kNoAuthority, "no right to take shards now");
+  }
+  ShardRecord record;
+  record.shard_ = shard;
+  record.owner_ = options_.self_id_;
+  record.address_ = options_.self_address_;
+  record.epoch_ = RequireInt(body, "epoch", 1, INT64_MAX) + 1;
+  record.horizon_ms_ = snapshot.horizon_ms_;
+  record.mod_revision_ = RequireInt(body, "revision", 1, INT64_MAX);
+  claiming_.insert(shard);
+  passed_[shard] = {record.epoch_, snapshot};
+  StoreTxn txn;
+  txn.IfModRevision(ShardKey(shard), record.mod_revision_)
+      .Put(ShardKey(shard), DumpJson(record.ToJson()));
+  store_->Commit(txn, [this, record, snapshot,
+                       respond](const StoreResult& result) {
+    claiming_.erase(record.shard_);
+    if (result.outcome_ != StoreOutcome::kAnswered || !result.succeeded_) {
+      // If the swap took effect after all, the next reading finds this
+      // instance named, and the passed table is still there for it.
+      Json::Value refusal;
+      refusal["code"] = "not_owner";
+      respond(503, refusal);
+      return;
+    }
+    passed_.erase(record.shard_);
+    auto claimed = record;
+    claimed.mod_revision_ = result.revision_;
+    view_->OnShard(claimed);
+    Take(claimed, true, &snapshot);
+    respond(kHttpOk, Json::Value(Json::objectValue));
+  });
+}
+
+}  // namespace lentilscale
--- a/lentilscale/work.cc
+++ b/lentilscale/work.cc
@@ -43,6 +43,36 @@
   return fmt::format("{}/{}/{}", job_, index_, attempt_);
 }
 
+auto TagFromWork(const Work& work) -> Json::Value {
+  Json::Value tag;
+  tag["service"] = work.service_;
+  tag["team"] = work.item_.team_;
+  tag["lane"] = static_cast<int>(work.item_.lane_);
+  tag["group"] = work.item_.group_;
+  tag["class"] = work.work_class_;
+  tag["need"] = work.item_.need_.ToJson();
+  if (const auto* task = std::get_if<TaskWork>(&work.kind_)) {
+    tag["ref"] = task->ref_.ToJson();
+  }
+  return tag;
+}
+
+auto WorkFromTag(const std::string& key, const Json::Value& tag) -> Work {
+  Work work;
+  work.service_ = GetString(tag, "service", "");
+  work.item_.key_ = key;
+  work.item_.team_ = GetString(tag, "team", "");
+  work.item_.lane_ =
+      static_cast<Lane>(GetInt(tag, "lane", 0, 0, kLaneCount - 1));
+  work.item_.group_ = GetString(tag, "group", "");
+  work.work_class_ = GetString(tag, "class", "");
+  work.item_.need_ = Resources::FromJson(GetObject(tag, "need"), 1);
+  if (tag.isMember("ref")) {
+    work.kind_ = TaskWork{TaskRef::FromJson(tag["ref"]), ""};
+  }
+  return work;
+}
+
 auto TaskEventKindName(TaskEventKind kind) -> std::string_view {
   return kTaskEventNames.at(static_cast<std::size_t>(kind));
 }
--- a/lentilscale/work.h
+++ b/lentilscale/work.h
@@ -76,6 +76,14 @@
   std::variant<CallWork, TaskWork> kind_;
 };
 
+// Prefix of the keys under which holds of all-at-once jobs take room.
+constexpr std::string_view kHoldKeyPrefix = "hold:";
+
+// Returns what a worker keeps beside a task so that the shard's next owner can
+// take the task over; WorkFromTag reads it back.
+auto TagFromWork(const Work& work) -> Json::Value;
+auto WorkFromTag(const std::string& key, const Json::Value& tag) -> Work;
+
 // What happened to a task.
 enum class TaskEventKind { kStarted, kEnded, kLost, kDropped };
 
--- /dev/null
+++ b/lentilscale/worker_model.cc
@@ -0,0 +1,209 @@
+// Everything a worker must remember is in two maps: what runs, and what ended
+// and was not acknowledged. The second also holds keys that were cancelled
+// before they came, which is how a late start is refused.
+
+#include "lentilscale/worker_model.h"
+
+#include <algorithm>
+
+#include "lentilscale/error.h"
+#include "lentilscale/json.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr Millis kFailMs = 1;
+constexpr std::int64_t kMaxAmount = 1'000'000'000;
+
+}  // namespace
+
+auto WorkerModel::Record(const char* what, const std::string& key,
+                         const StartRequest& request,
+                         const std::string& detail) const -> void {
+  if (!recorder_) {
+    return;
+  }
+  Json::Value event;
+  event["event"] = what;
+  event["worker"] = id_;
+  event["key"] = key;
+  event["epoch"] = Json::Int64(request.epoch_);
+  event["need"] = request.need_.ToJson();
+  event["tag"] = request.tag_;
+  event["work"] = request.work_;
+  event["detail"] = detail;
+  recorder_(event);
+}
+
+auto WorkerModel::OnSession(const SessionRequest& request, Millis now)
+    -> SessionAnswer {
+  if (request.epoch_ < epoch_) {
+    throw Error(ErrorCode::kStaleEpoch, "a later owner has the session");
+  }
+  const auto is_opening = request.epoch_ > epoch_ || request.echo_ms_ == 0;
+  epoch_ = request.epoch_;
+  owner_ = request.owner_;
+  const auto from = is_opening ? now : std::min(request.echo_ms_, now);
+  session_until_ms_ =
+      std::max(is_opening ? 0 : session_until_ms_, from + request.session_ms_);
+  for (const auto& key : request.acknowledged_) {
+    ended_.erase(key);
+  }
+  for (const auto& key : request.stopped_) {
+    if (running_.contains(key)) {
+      End(key, EndStatus::kStopped, now);
+    } else if (!ended_.contains(key)) {
+      ended_[key] = {key, EndStatus::kNeverStarted, 0, {}, {}, {}};
+    }
+  }
+  for (const auto& key : request.cancelled_) {
+    if (!running_.contains(key) && !ended_.contains(key)) {
+      ended_[key] = {key, EndStatus::kNeverStarted, 0, {}, {}, {}};
+    }
+  }
+  SessionAnswer answer;
+  answer.clock_ms_ = now;
+  for (const auto& [key, item] : running_) {
+    answer.running_.push_back(
+        {key, item.used_, is_opening ? item.request_.tag_ : Json::Value()});
+  }
+  for (const auto& [key, item] : ended_) {
+    auto copy = item;
+    if (!is_opening) {
+      copy.tag_ = Json::Value();
+    }
+    answer.ended_.push_back(std::move(copy));
+  }
+  return answer;
+}
+
+auto WorkerModel::Used() const -> Resources {
+  Resources used;
+  for (const auto& [key, item] : running_) {
+    used += item.request_.need_;
+  }
+  return used;
+}
+
+auto WorkerModel::OnStart(const StartRequest& request, bool is_call, Millis now)
+    -> void {
+  const auto refuse = [this, &request](ErrorCode code, const char* reason) {
+    Record("refuse", request.key_, request, reason);
+    throw Error(code, reason);
+  };
+  if (request.epoch_ != epoch_ || now >= session_until_ms_) {
+    refuse(ErrorCode::kStaleEpoch, "no session under this epoch");
+  }
+  if (running_.contains(request.key_)) {
+    if (!is_call) {
+      return;
+    }
+    refuse(ErrorCode::kInProgress, "the key is known");
+  }
+  const auto known = ended_.find(request.key_);
+  if (known != ended_.end()) {
+    const auto is_cancelled = known->second.status_ == EndStatus::kNeverStarted;
+    refuse(is_cancelled ? ErrorCode::kDuplicateId : ErrorCode::kInProgress,
+           "the key is known");
+  }
+  auto free = capacity_;
+  free -= Used();
+  if (!request.need_.FitsIn(free)) {
+    refuse(ErrorCode::kNoRoom, "no room");
+  }
+  Running item;
+  item.request_ = request;
+  item.is_call_ = is_call;
+  item.started_ms_ = now;
+  const auto& work = request.work_;
+  const auto run_ms = GetInt(work, "run_ms", 0, 0, INT64_MAX / 4);
+  const auto cpu = GetInt(work, "cpu_milli", request.need_.cpu_milli_, 0, kMaxAmount);
+  const auto memory =
+      GetInt(work, "memory_mb", request.need_.memory_mb_, 0, kMaxAmount);
+  item.used_.cpu_milli_ = std::min(cpu, request.need_.cpu_milli_);
+  item.used_.memory_mb_ = std::min(memory, request.need_.memory_mb_);
+  auto left = std::max<Millis>(run_ms - request.progress_ms_, 0);
+  if (cpu > request.need_.cpu_milli_ && request.need_.cpu_milli_ > 0) {
+    left = left * cpu / request.need_.cpu_milli_;
+  }
+  const auto is_endless = run_ms == 0 && !is_call;
+  item.ends_ms_ = is_endless ? 0 : now + left;
+  if (memory > request.need_.memory_mb_) {
+    item.status_ = EndStatus::kOutOfMemory;
+    item.ends_ms_ = now + left / 2 + 1;
+  }
+  if (is_failing_ || GetBool(work, "fail", false)) {
+    item.status_ = EndStatus::kFailed;
+    item.ends_ms_ = now + kFailMs;
+  }
+  Record("start", request.key_, request, "");
+  running_[request.key_] = std::move(item);
+}
+
+auto WorkerModel::End(const std::string& key, EndStatus status, Millis now)
+    -> EndedTask {
+  const auto item = running_.at(key);
+  running_.erase(key);
+  Record("end", key, item.request_, std::string(EndStatusName(status)));
+  EndedTask ended;
+  ended.key_ = key;
+  ended.status_ = status;
+  ended.used_ = item.used_;
+  ended.tag_ = item.request_.tag_;
+  if (status == EndStatus::kStopped || status == EndStatus::kLapsed) {
+    ended.progress_ms_ = item.request_.progress_ms_ + (now - item.started_ms_);
+  }
+  if (item.is_call_) {
+    ended.answer_["key"] = key;
+    ended.answer_["status"] = std::string(EndStatusName(status));
+    ended.answer_["worker"] = id_;
+    ended.answer_["echo"] = item.request_.work_["echo"];
+    ended.answer_["request_id"] = item.request_.work_["request_id"];
+  }
+  ended_[key] = ended;
+  return ended;
+}
+
+auto WorkerModel::Tick(Millis now) -> std::vector<EndedCall> {
+  std::vector<EndedCall> calls;
+  const auto has_lapsed = session_until_ms_ != 0 && now >= session_until_ms_;
+  std::vector<std::string> due;
+  for (const auto& [key, item] : running_) {
+    const auto is_due = item.ends_ms_ != 0 && item.ends_ms_ <= now;
+    if (is_due || has_lapsed) {
+      due.push_back(key);
+    }
+  }
+  for (const auto& key : due) {
+    const auto& item = running_.at(key);
+    const auto is_call = item.is_call_;
+    const auto is_due = item.ends_ms_ != 0 && item.ends_ms_ <= now;
+    const auto ended = End(key, is_due ? item.status_ : EndStatus::kLapsed, now);
+    if (is_call) {
+      calls.push_back({key, ended.answer_});
+    }
+  }
+  return calls;
+}
+
+auto WorkerModel::Restart() -> void {
+  for (const auto& [key, item] : running_) {
+    Record("end", key, item.request_, "restart");
+  }
+  running_.clear();
+  ended_.clear();
+  session_until_ms_ = 0;
+  epoch_ = 0;
+}
+
+auto WorkerModel::NextEnd() const -> Millis {
+  Millis next = 0;
+  for (const auto& [key, item] : running_) {
+    if (item.ends_ms_ != 0 && (next == 0 || item.ends_ms_ < next)) {
+      next = item.ends_ms_;
+    }
+  }
+  return next;
+}
+
+}  // namespace lentilscale
--- /dev/null
+++ b/lentilscale/worker_server.cc
@@ -0,0 +1,112 @@
+// One timer for all workers: ends are late by its period at most.
+
+#include "lentilscale/worker_server.h"
+
+#include <fmt/format.h>
+
+#include "lentilscale/error.h"
+#include "lentilscale/json.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr Millis kTickMs = 2;
+constexpr std::size_t kMaxBodyBytes = 8U << 20U;
+constexpr auto kHttpOk = 200;
+constexpr std::uint64_t kIdleMs = 60000;
+
+}  // namespace
+
+WorkerServer::WorkerServer(uv_loop_t* loop, WorkerModel::Recorder recorder)
+    : loop_(loop), recorder_(std::move(recorder)) {
+  timer_ = std::make_unique<RepeatingTimer>(loop, kTickMs, [this] { Tick(); });
+}
+
+auto WorkerServer::Add(const std::string& id, const Resources& capacity,
+                       int port) -> absl::StatusOr<std::string> {
+  auto worker = std::make_unique<Worker>();
+  worker->model_ = std::make_unique<WorkerModel>(id, capacity, recorder_);
+  auto* raw = worker.get();
+  auto server = HttpServer::Listen(
+      loop_, "127.0.0.1", port, {kMaxBodyBytes, kIdleMs},
+      [this, raw](const HttpRequest& request,
+                  std::shared_ptr<HttpReply> reply) {
+        Serve(*raw, request, std::move(reply));
+      });
+  if (!server.ok()) {
+    return server.status();
+  }
+  worker->server_ = std::move(*server);
+  const auto address = fmt::format("127.0.0.1:{}", worker->server_->port());
+  workers_[id] = std::move(worker);
+  return address;
+}
+
+auto WorkerServer::Find(const std::string& id) -> WorkerModel* {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : it->second->model_.get();
+}
+
+auto WorkerServer::SetSilent(const std::string& id, bool is_silent) -> void {
+  const auto it = workers_.find(id);
+  if (it != workers_.end()) {
+    it->second->is_silent_ = is_silent;
+  }
+}
+
+auto WorkerServer::Serve(Worker& worker, const HttpRequest& request,
+                         std::shared_ptr<HttpReply> reply) -> void {
+  if (worker.is_silent_) {
+    worker.silenced_.push_back(std::move(reply));
+    return;
+  }
+  const auto now = MonotonicMs();
+  TickWorker(worker);
+  try {
+    const auto body = ParseJson(request.body_);
+    if (request.path_ == "/v1/session") {
+      const auto answer =
+          worker.model_->OnSession(SessionRequest::FromJson(body), now);
+      reply->Send(kHttpOk, DumpJson(answer.ToJson()));
+    } else if (request.path_ == "/v1/start") {
+      worker.model_->OnStart(StartRequest::FromJson(body), false, now);
+      reply->Send(kHttpOk, R"({"started":true})");
+    } else if (request.path_ == "/v1/call") {
+      const auto start = StartRequest::FromJson(body);
+      worker.model_->OnStart(start, true, now);
+      worker.open_calls_[start.key_] = std::move(reply);
+      TickWorker(worker);
+    } else {
+      throw Error(ErrorCode::kNotFound, "no such path");
+    }
+  } catch (const Error& e) {
+    Json::Value refusal;
+    refusal["code"] = std::string(e.info().name_);
+    refusal["not_run"] = e.info().not_run_;
+    refusal["reason"] = e.what();
+    reply->Send(e.info().http_status_, DumpJson(refusal));
+  }
+}
+
+auto WorkerServer::TickWorker(Worker& worker) -> void {
+  for (const auto& ended : worker.model_->Tick(MonotonicMs())) {
+    const auto it = worker.open_calls_.find(ended.key_);
+    if (it == worker.open_calls_.end()) {
+      continue;
+    }
+    if (worker.is_silent_) {
+      worker.silenced_.push_back(it->second);
+    } else {
+      it->second->Send(kHttpOk, DumpJson(ended.answer_));
+    }
+    worker.open_calls_.erase(it);
+  }
+}
+
+auto WorkerServer::Tick() -> void {
+  for (auto& [id, worker] : workers_) {
+    TickWorker(*worker);
+  }
+}
+
+}  // namespace lentilscale
