--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -76,6 +76,8 @@
   LogEvent(Event::kListening,
            {{"address", fmt::format("{}:{}", settings.listen_address_,
                                     node->port())},
+            {"peer_listener", fmt::format("{}:{}", settings.listen_address_,
+                                          node->peer_port())},
             {"peers", node->peer_address_},
             {"id", node->id_}});
   return node;
--- a/lentilscale/worker_model.cc
+++ b/lentilscale/worker_model.cc
@@ -94,6 +94,14 @@
   return used;
 }
 
+auto WorkerModel::AddSlotsByTeam(
+    std::map<std::string, std::int64_t>& by_team) const -> void {
+  for (const auto& [key, item] : running_) {
+    by_team[item.request_.tag_["team"].asString()] +=
+        item.request_.need_.slots_;
+  }
+}
+
 auto WorkerModel::OnStart(const StartRequest& request, bool is_call, Millis now)
     -> void {
   const auto refuse = [this, &request](ErrorCode code, const char* reason) {
--- a/lentilscale/worker_model.h
+++ b/lentilscale/worker_model.h
@@ -71,6 +71,9 @@
   auto running() const -> std::size_t { return running_.size(); }
   auto epoch() const -> std::int64_t { return epoch_; }
   auto Used() const -> Resources;
+  // Adds the slots in use to their teams' counts.
+  auto AddSlotsByTeam(std::map<std::string, std::int64_t>& by_team) const
+      -> void;
   // Returns the time of the next end, or 0.
   auto NextEnd() const -> Millis;
 
--- a/testing/fake_workers.cc
+++ b/testing/fake_workers.cc
@@ -43,6 +43,8 @@
 ABSL_FLAG(int, port, 0, "port for tests on 127.0.0.1; 0 takes a free one");
 ABSL_FLAG(std::string, platform, "", "address of fake_platform");
 ABSL_FLAG(std::string, fleet, "", "INI file with the workers");
+ABSL_FLAG(std::string, proxy, "",
+          "control address of fault_proxy, through which workers are reached");
 ABSL_FLAG(std::string, record, "", "file for the record of events");
 
 namespace lentilscale {
@@ -113,7 +115,7 @@
         if (!address.ok()) {
           return std::string(address.status().message());
         }
-        info.address_ = *address;
+        info.address_ = ThroughProxy(info.id_, *address);
         infos_[info.id_] = info;
       }
     }
@@ -144,6 +146,8 @@
       if (request.path_ == "/fake/worker") {
         Change(ParseJson(request.body_));
         reply.Send(kHttpOk, "{}");
+      } else if (request.path_ == "/fake/load") {
+        reply.Send(kHttpOk, DumpJson(Load()));
       } else {
         reply.Send(kHttpOk, DumpJson(Summary()));
       }
@@ -153,6 +157,21 @@
   }
 
  private:
+  auto ThroughProxy(const std::string& id, const std::string& address)
+      -> std::string {
+    if (absl::GetFlag(FLAGS_proxy).empty()) {
+      return address;
+    }
+    Json::Value body;
+    body["name"] = "worker-" + id;
+    body["target"] = address;
+    const auto result =
+        sync_.Send({absl::GetFlag(FLAGS_proxy), "POST", "/fake/link",
+                    DumpJson(body), "", kRegisterTimeoutMs});
+    return fmt::format("127.0.0.1:{}",
+                       ParseJson(result.body_)["port"].asInt());
+  }
+
   auto Change(const Json::Value& body) -> void {
     const auto id = GetString(body, "id", "");
     const auto prefix = GetString(body, "prefix", "");
@@ -196,6 +215,28 @@
     return out;
   }
 
+  // Slots in use of all workers, and each team's part of all slots.
+  auto Load() -> Json::Value {
+    std::int64_t slots = 0;
+    std::int64_t used = 0;
+    std::map<std::string, std::int64_t> by_team;
+    for (const auto& [id, info] : infos_) {
+      slots += info.capacity_.slots_;
+      const auto* model = server_.Find(id);
+      used += model->Used().slots_;
+      model->AddSlotsByTeam(by_team);
+    }
+    Json::Value out;
+    out["slots"] = Json::Int64(slots);
+    out["used_slots"] = Json::Int64(used);
+    out["teams"] = Json::Value(Json::objectValue);
+    for (const auto& [team, count] : by_team) {
+      out["teams"][team] =
+          static_cast<double>(count) / static_cast<double>(slots);
+    }
+    return out;
+  }
+
   EventRecord record_;
   WorkerServer server_;
   SyncClient sync_;
