--- a/cmd/lentilctl.cc
+++ b/cmd/lentilctl.cc
@@ -40,7 +40,6 @@
 namespace {
 
 using lentilscale::DumpJson;
-using lentilscale::HttpCall;
 using lentilscale::HttpOutcome;
 using lentilscale::HttpResult;
 using lentilscale::Millis;
--- a/cmd/lentild.cc
+++ b/cmd/lentild.cc
@@ -32,8 +32,6 @@
 
 namespace {
 
-using lentilscale::Event;
-using lentilscale::LogEvent;
 using lentilscale::Node;
 using lentilscale::Settings;
 
@@ -101,7 +99,8 @@
   }
   const auto settings = LoadSettings();
   if (!settings.ok()) {
-    fmt::print(stderr, "lentild: {}\n", std::string(settings.status().message()));
+    fmt::print(stderr, "lentild: {}\n",
+               std::string(settings.status().message()));
     return kExitBadSettings;
   }
   if (absl::GetFlag(FLAGS_check_settings)) {
--- a/cmd/lentilload.cc
+++ b/cmd/lentilload.cc
@@ -1,6 +1,6 @@
 // lentilload drives running processes with the load of an experiment.
 //
-//   lentilload --experiment=higienik.ini --entries=IP:PORT,... 
+//   lentilload --experiment=higienik.ini --entries=IP:PORT,...
 //              [--platform=IP:PORT] [--workers=IP:PORT] [--proxy=IP:PORT]
 //              [--operator-key=KEY] [--pids=NAME=PID,...]
 //              [--record=FILE] [--result=FILE] [--report=FILE] [--progress]
--- a/lentilscale/api.cc
+++ b/lentilscale/api.cc
@@ -98,7 +98,8 @@
   const auto is_v1 = path.size() >= 2 && path[0] == "v1";
   const auto is_post = request.method_ == "POST";
   const auto& what = is_v1 ? path[1] : path[0];
-  const auto is_call = is_v1 && path.size() == 4 && path[3] == "calls" && is_post;
+  const auto is_call =
+      is_v1 && path.size() == 4 && path[3] == "calls" && is_post;
   if (is_call && what == "services") {
     ServeCall(request, path[2], Authenticate(request), std::move(reply));
   } else if (is_call && what == "queues") {
@@ -127,8 +128,7 @@
   if (node_->configuration_.number_ == 0) {
     throw Error(ErrorCode::kNoConfiguration, "no ticket has been accepted yet");
   }
-  const auto age =
-      MonotonicMs() - node_->authority_.ConfigurationConfirmedAt();
+  const auto age = MonotonicMs() - node_->authority_.ConfigurationConfirmedAt();
   if (age > node_->settings_.key_stale_ms_) {
     throw Error(ErrorCode::kNoAuthority,
                 "the configuration here may be out of date");
@@ -173,9 +173,8 @@
   call.is_urgent_ = GetBool(body, "urgent", false);
   call.issued_ms_ = GetInt(body, "issued_ms", 0, 0, INT64_MAX);
   call.attempt_ = GetInt(body, "attempt", 0, 0, INT64_MAX);
-  const auto deadline =
-      GetInt(body, "deadline_ms", kDefaultDeadlineMs, INT64_MIN,
-             node_->settings_.max_deadline_ms_);
+  const auto deadline = GetInt(body, "deadline_ms", kDefaultDeadlineMs,
+                               INT64_MIN, node_->settings_.max_deadline_ms_);
   if (deadline <= 0) {
     throw Error(ErrorCode::kDeadlinePassed, "the deadline has passed");
   }
@@ -227,8 +226,7 @@
   // A job's home follows from its id; the keeper of a job that was submitted
   // under another set of shards is found through the store.
   const auto service = GetString(body, "service", "");
-  const auto home =
-      HomeShard(node_->view_->ShardsOf(service), "job/" + job);
+  const auto home = HomeShard(node_->view_->ShardsOf(service), "job/" + job);
   const auto send = [this, reply](const std::string& shard,
                                   const Json::Value& request) {
     const auto* record = node_->view_->FindShard(shard);
@@ -236,20 +234,20 @@
       SendRefusal(reply, ErrorCode::kNotOwner, "no shard is owned yet");
       return;
     }
-    node_->link_->Ask(record->address_, "/peer/v1/jobs", request, kJobTimeoutMs,
-                      [reply](const PeerAnswer& answer) {
-                        if (answer.http_status_ != 0 &&
-                            !answer.body_.isNull()) {
-                          SendJson(reply, answer.http_status_, answer.body_);
-                        } else if (answer.is_not_sent_) {
-                          SendRefusal(reply, ErrorCode::kPeerUnavailable,
-                                      "the job's keeper was not reached");
-                        } else {
-                          SendRefusal(reply, ErrorCode::kOutcomeUnknown,
-                                      "the job's keeper did not answer; "
-                                      "repeat the request");
-                        }
-                      });
+    node_->link_->Ask(
+        record->address_, "/peer/v1/jobs", request, kJobTimeoutMs,
+        [reply](const PeerAnswer& answer) {
+          if (answer.http_status_ != 0 && !answer.body_.isNull()) {
+            SendJson(reply, answer.http_status_, answer.body_);
+          } else if (answer.is_not_sent_) {
+            SendRefusal(reply, ErrorCode::kPeerUnavailable,
+                        "the job's keeper was not reached");
+          } else {
+            SendRefusal(reply, ErrorCode::kOutcomeUnknown,
+                        "the job's keeper did not answer; "
+                        "repeat the request");
+          }
+        });
   };
   if (body["op"] == "submit") {
     body["home"] = home;
@@ -258,19 +256,19 @@
   }
   StoreTxn txn;
   txn.Get(JobKey(job));
-  node_->store_->Commit(txn, [send, body, job,
-                              reply](const StoreResult& result) {
-    if (result.outcome_ != StoreOutcome::kAnswered) {
-      SendRefusal(reply, ErrorCode::kStoreUnavailable, "no answer");
-      return;
-    }
-    const auto* entry = result.Find(JobKey(job));
-    if (entry == nullptr) {
-      SendRefusal(reply, ErrorCode::kUnknownJob, "no job " + job);
-      return;
-    }
-    send(ParseJson(entry->value_)["home"].asString(), body);
-  });
+  node_->store_->Commit(
+      txn, [send, body, job, reply](const StoreResult& result) {
+        if (result.outcome_ != StoreOutcome::kAnswered) {
+          SendRefusal(reply, ErrorCode::kStoreUnavailable, "no answer");
+          return;
+        }
+        const auto* entry = result.Find(JobKey(job));
+        if (entry == nullptr) {
+          SendRefusal(reply, ErrorCode::kUnknownJob, "no job " + job);
+          return;
+        }
+        send(ParseJson(entry->value_)["home"].asString(), body);
+      });
 }
 
 auto Api::ListJobs(const std::string& team, Reply reply) -> void {
@@ -361,8 +359,7 @@
     Json::Value item;
     item["member"] = id;
     item["address"] = node_->members_.Find(id)->record_.address_;
-    item["held"] =
-        Json::Int64(node_->holdings_->HeldBy(team, service, id));
+    item["held"] = Json::Int64(node_->holdings_->HeldBy(team, service, id));
     body["order"].append(item);
   }
   if (auto* scheduler = node_->executor_->FindScheduler(service)) {
@@ -406,15 +403,15 @@
 // lately, whose rights may not have lapsed.
 auto Api::ServeInForce(std::int64_t number, Reply reply) -> void {
   const auto now = MonotonicMs();
-  const auto bound = node_->settings_.key_stale_ms_ +
-                     node_->settings_.member_lease_s_ * 1000;
+  const auto bound =
+      node_->settings_.key_stale_ms_ + node_->settings_.member_lease_s_ * 1000;
   Json::Value waiting(Json::arrayValue);
   if (node_->configuration_.number_ < number) {
     waiting.append(node_->id_);
   }
   for (const auto* state : node_->members_.Others()) {
-    const auto may_act = state->is_listed_ ||
-                         now - state->missing_since_ms_ <= bound;
+    const auto may_act =
+        state->is_listed_ || now - state->missing_since_ms_ <= bound;
     if (may_act && state->digest_.ticket_ < number) {
       waiting.append(state->record_.id_);
     }
--- a/lentilscale/call_router.cc
+++ b/lentilscale/call_router.cc
@@ -43,8 +43,7 @@
 
 auto OutcomeFromJson(const Json::Value& object) -> CallOutcome {
   CallOutcome out;
-  out.kind_ =
-      static_cast<CallOutcome::Kind>(RequireInt(object, "kind", 0, 2));
+  out.kind_ = static_cast<CallOutcome::Kind>(RequireInt(object, "kind", 0, 2));
   out.code_ = ErrorCodeFromName(GetString(object, "code", ""));
   out.reason_ = GetString(object, "reason", "");
   out.answer_ = object["answer"];
@@ -112,15 +111,14 @@
 }
 
 CallRouter::CallRouter(uv_loop_t* loop, PeerLink* link, Members* members,
-                       StoreView* view, ShardOwner* owner, Executor* executor,
-                       HomeDesk* homes, HoldingDesk* holdings, Metrics* metrics,
+                       StoreView* view, Executor* executor, HomeDesk* homes,
+                       HoldingDesk* holdings, Metrics* metrics,
                        std::function<Millis()> rights_until,
                        const Options& options)
     : loop_(loop),
       link_(link),
       members_(members),
       view_(view),
-      owner_(owner),
       executor_(executor),
       homes_(homes),
       holdings_(holdings),
@@ -225,19 +223,20 @@
   body["call"] = call.ToJson(now);
   const auto timeout = call.deadline_ms_ - now + 2 * kPeerGraceMs;
   const auto is_first = call.attempt_ == 1;
-  link_->Ask(record->address_, kHomePath, body, timeout,
-             [done, on_reply, is_first](const PeerAnswer& answer) {
-               if (answer.is_ok_) {
-                 on_reply({static_cast<int>(
-                               GetInt(answer.body_, "status", 500, 100, 599)),
-                           GetString(answer.body_, "body", "")});
-                 return;
-               }
-               const auto code = answer.is_not_sent_ && is_first
-                                     ? ErrorCode::kPeerUnavailable
-                                     : ErrorCode::kOutcomeUnknown;
-               done(MakeRefusalReply(code, "the request's home did not answer"));
-             });
+  link_->Ask(
+      record->address_, kHomePath, body, timeout,
+      [done, on_reply, is_first](const PeerAnswer& answer) {
+        if (answer.is_ok_) {
+          on_reply(
+              {static_cast<int>(GetInt(answer.body_, "status", 500, 100, 599)),
+               GetString(answer.body_, "body", "")});
+          return;
+        }
+        const auto code = answer.is_not_sent_ && is_first
+                              ? ErrorCode::kPeerUnavailable
+                              : ErrorCode::kOutcomeUnknown;
+        done(MakeRefusalReply(code, "the request's home did not answer"));
+      });
 }
 
 // The home refused before it looked at the request: its shard is moving, or it
@@ -265,7 +264,7 @@
   const RequestKey key{call.team_, call.request_id_};
   // A repeat waits for the original no longer than its own deadline.
   auto is_done = std::make_shared<bool>(false);
-  auto once = [this, done = std::move(done), is_done](const HomeReply& reply) {
+  auto once = [done = std::move(done), is_done](const HomeReply& reply) {
     if (!*is_done) {
       *is_done = true;
       done(reply);
@@ -280,8 +279,7 @@
                   });
     if (!is_fresh) {
       metrics_->Add(Counter::kCallsRepeated);
-      RunAfter(loop_,
-               std::max<Millis>(call.deadline_ms_ - MonotonicMs(), 0),
+      RunAfter(loop_, std::max<Millis>(call.deadline_ms_ - MonotonicMs(), 0),
                [once] {
                  once(MakeRefusalReply(ErrorCode::kInProgress,
                                        "the original has not ended yet"));
@@ -325,8 +323,8 @@
   for (const auto* state : members_->Listed()) {
     const auto& id = state->record_.id_;
     const auto is_self = id == options_.self_id_;
-    if (!is_self && (!members_->IsReachable(id, now) ||
-                     state->digest_.is_draining_)) {
+    if (!is_self &&
+        (!members_->IsReachable(id, now) || state->digest_.is_draining_)) {
       continue;
     }
     auto load = LoadOf(*state, call.service_);
@@ -347,16 +345,17 @@
     // Free room minus what waits; a loaded member keeps a small weight, so
     // that all are tried in the end.
     const auto room = static_cast<double>(load.free_slots_ - load.queued_);
-    const auto weight = room > 0 ? room
-                                 : kLeastWeight * static_cast<double>(load.slots_) /
-                                       static_cast<double>(1 + load.queued_);
-    const auto uniform = std::uniform_real_distribution<double>(1e-9, 1.0)(random_);
+    const auto weight = room > 0
+                            ? room
+                            : kLeastWeight * static_cast<double>(load.slots_) /
+                                  static_cast<double>(1 + load.queued_);
+    const auto uniform =
+        std::uniform_real_distribution<double>(1e-9, 1.0)(random_);
     // Efraimidis and Spirakis: ordering by u^(1/w) draws by weight.
     scored.push_back({id, is_far, held > 0, std::pow(uniform, 1.0 / weight)});
   }
-  const auto may_cross =
-      near_slots == 0 ||
-      near_queued / near_slots > options_.cross_region_backlog_;
+  const auto may_cross = near_slots == 0 || near_queued / near_slots >
+                                                options_.cross_region_backlog_;
   std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
     if (a.is_far_ != b.is_far_) {
       return b.is_far_;
--- a/lentilscale/call_router.h
+++ b/lentilscale/call_router.h
@@ -1,7 +1,8 @@
 // Routes calls: from the instance that a caller reached, by way of the
 // request's home if it is non-idempotent, to the instance that executes it.
 //
-//   router.Route(call, [](const HomeReply& reply) { ... answer the caller ... });
+//   router.Route(call, [](const HomeReply& reply) { ... answer the caller ...
+//   });
 //
 // The paths between instances are /peer/v1/home and /peer/v1/execute. An
 // executor is chosen by the free room that members report in heartbeats, near
@@ -22,7 +23,7 @@
 #include "lentilscale/members.h"
 #include "lentilscale/peer_link.h"
 #include "lentilscale/retry_budget.h"
-#include "lentilscale/shard_owner.h"
+#include "lentilscale/store_view.h"
 
 namespace lentilscale {
 
@@ -67,9 +68,9 @@
   };
 
   CallRouter(uv_loop_t* loop, PeerLink* link, Members* members, StoreView* view,
-             ShardOwner* owner, Executor* executor, HomeDesk* homes,
-             HoldingDesk* holdings, Metrics* metrics,
-             std::function<Millis()> rights_until, const Options& options);
+             Executor* executor, HomeDesk* homes, HoldingDesk* holdings,
+             Metrics* metrics, std::function<Millis()> rights_until,
+             const Options& options);
 
   // Routes a call that this instance has admitted.
   auto Route(const Call& call, Done done) -> void;
@@ -117,7 +118,6 @@
   PeerLink* link_;
   Members* members_;
   StoreView* view_;
-  ShardOwner* owner_;
   Executor* executor_;
   HomeDesk* homes_;
   HoldingDesk* holdings_;
--- a/lentilscale/command_line.cc
+++ b/lentilscale/command_line.cc
@@ -16,12 +16,13 @@
       break;
     }
     if (word.starts_with("--")) {
-      const auto end = word.begin() + static_cast<std::ptrdiff_t>(
-                                          std::min(word.find('='), word.size()));
+      const auto end = word.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                          word.find('='), word.size()));
       std::replace(word.begin() + 2, end, '-', '_');
     }
   }
   std::vector<char*> pointers;
+  pointers.reserve(spelled.size());
   for (auto& word : spelled) {
     pointers.push_back(word.data());
   }
--- a/lentilscale/configuration.cc
+++ b/lentilscale/configuration.cc
@@ -57,9 +57,10 @@
 auto KeyFromJson(const Json::Value& object) -> TeamKey {
   CheckMembers(object, {"name", "sha256"}, "key");
   TeamKey key{RequireString(object, "name"), RequireString(object, "sha256")};
-  const auto is_hex = std::all_of(
-      key.sha256_.begin(), key.sha256_.end(),
-      [](unsigned char c) { return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f'); });
+  const auto is_hex =
+      std::all_of(key.sha256_.begin(), key.sha256_.end(), [](unsigned char c) {
+        return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f');
+      });
   if (key.sha256_.size() != kSha256HexLength || !is_hex) {
     throw Error(ErrorCode::kBadRequest,
                 "'sha256' must be 64 lower-case hexadecimal digits");
@@ -117,7 +118,8 @@
     -> OpenQueue {
   CheckName(name, "queue");
   CheckMembers(object, {"service", "team"}, "queue " + name);
-  return {name, RequireString(object, "service"), RequireString(object, "team")};
+  return {name, RequireString(object, "service"),
+          RequireString(object, "team")};
 }
 
 auto QueueToJson(const OpenQueue& queue) -> Json::Value {
@@ -130,9 +132,10 @@
 auto DeploymentFromJson(const std::string& name, const Json::Value& object)
     -> Deployment {
   CheckName(name, "deployment");
-  CheckMembers(object,
-               {"team", "service", "count", "need", "max_unavailable", "version"},
-               "deployment " + name);
+  CheckMembers(
+      object,
+      {"team", "service", "count", "need", "max_unavailable", "version"},
+      "deployment " + name);
   Deployment out;
   out.name_ = name;
   out.team_ = RequireString(object, "team");
@@ -366,8 +369,8 @@
   const Team* found = nullptr;
   for (const auto& [name, team] : teams_) {
     for (const auto& candidate : team.keys_) {
-      const auto is_equal = CRYPTO_memcmp(candidate.sha256_.data(), digest.data(),
-                                          kSha256HexLength) == 0;
+      const auto is_equal = CRYPTO_memcmp(candidate.sha256_.data(),
+                                          digest.data(), kSha256HexLength) == 0;
       found = is_equal ? &team : found;
     }
   }
--- a/lentilscale/executor.cc
+++ b/lentilscale/executor.cc
@@ -372,8 +372,12 @@
   }
   // Started by an earlier owner: take it over as it is.
   Work work = WorkFromTag(running.key_, running.tag_);
-  Occupant occupant{worker,          work.item_.team_,  work.item_.group_,
-                    work.item_.lane_, work.item_.need_, now,
+  Occupant occupant{worker,
+                    work.item_.team_,
+                    work.item_.group_,
+                    work.item_.lane_,
+                    work.item_.need_,
+                    now,
                     work.item_.lane_ == Lane::kBatch};
   scheduler.Occupy(running.key_, occupant, now);
   if (std::holds_alternative<TaskWork>(work.kind_)) {
@@ -434,10 +438,10 @@
   CallOutcome outcome;
   outcome.worker_ = worker;
   outcome.wait_ms_ = call.placed_ms_ - call.work_.item_.enqueued_ms_;
-  const auto has_answer = ended.status_ == EndStatus::kOk ||
-                          ended.status_ == EndStatus::kFailed;
-  outcome.kind_ = has_answer ? CallOutcome::Kind::kAnswered
-                             : CallOutcome::Kind::kUnknown;
+  const auto has_answer =
+      ended.status_ == EndStatus::kOk || ended.status_ == EndStatus::kFailed;
+  outcome.kind_ =
+      has_answer ? CallOutcome::Kind::kAnswered : CallOutcome::Kind::kUnknown;
   outcome.reason_ = has_answer ? "" : "the worker stopped it";
   outcome.answer_ = ended.answer_;
   FinishCall(ended.key_, std::move(outcome));
@@ -466,8 +470,8 @@
   for (const auto& key : missing) {
     const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
     LogEvent(Event::kTaskLost, {{"task", key}, {"worker", worker}});
-    FinishTask(key, {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "",
-                     worker});
+    FinishTask(key,
+               {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "", worker});
   }
   auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
   for (const auto& key : scheduler.OccupantsOf(worker)) {
@@ -495,8 +499,8 @@
   }
   for (const auto& key : tasks) {
     const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
-    FinishTask(key, {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "",
-                     worker});
+    FinishTask(key,
+               {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "", worker});
   }
   for (const auto& key : calls) {
     CallOutcome outcome;
@@ -541,8 +545,7 @@
   std::vector<ServiceLoad> out;
   for (const auto& [service, scheduler] : schedulers_) {
     out.push_back({service, std::max<std::int64_t>(scheduler->FreeSlots(), 0),
-                   scheduler->QueueSize(),
-                   scheduler->OpenCapacity().slots_});
+                   scheduler->QueueSize(), scheduler->OpenCapacity().slots_});
   }
   return out;
 }
@@ -580,11 +583,10 @@
       return fmt::format("it runs on worker {}", worker);
     }
     const auto it = schedulers_.find(work.service_);
-    const auto reason = it == schedulers_.end()
-                            ? WaitReason::kNoOpenWorker
-                            : it->second->Explain(key);
-    return fmt::format("it waits in lane {}: {}",
-                       LaneName(work.item_.lane_), WaitReasonText(reason));
+    const auto reason = it == schedulers_.end() ? WaitReason::kNoOpenWorker
+                                                : it->second->Explain(key);
+    return fmt::format("it waits in lane {}: {}", LaneName(work.item_.lane_),
+                       WaitReasonText(reason));
   };
   const auto task = tasks_.find(key);
   if (task != tasks_.end()) {
--- a/lentilscale/executor.h
+++ b/lentilscale/executor.h
@@ -200,15 +200,15 @@
   auto ReleaseWork(const Work& work) -> void;
 
   auto Renew(const std::string& worker) -> void;
-  auto OnSessionResult(const std::string& worker,
-                       const SessionRequest& request, Millis sent,
-                       const HttpResult& result) -> void;
+  auto OnSessionResult(const std::string& worker, const SessionRequest& request,
+                       Millis sent, const HttpResult& result) -> void;
   auto ApplyAnswer(const std::string& worker, const SessionAnswer& answer,
                    Millis sent, bool is_first) -> void;
   auto AdoptRunning(const std::string& worker, const RunningTask& running)
       -> void;
   auto ApplyEnded(const std::string& worker, const EndedTask& ended) -> void;
-  auto ApplyEndedCall(const std::string& worker, const EndedTask& ended) -> void;
+  auto ApplyEndedCall(const std::string& worker, const EndedTask& ended)
+      -> void;
   auto FindMissing(const std::string& worker, const SessionAnswer& answer,
                    Millis sent) -> void;
   auto OnWorkerLost(const std::string& worker) -> void;
--- a/lentilscale/executor_dispatch.cc
+++ b/lentilscale/executor_dispatch.cc
@@ -51,8 +51,8 @@
                 fmt::format("team {} has {} waiting here", work.item_.team_,
                             options_.team_queue_));
   }
-  work.item_.need_ = sizes_.Reservation(work.item_.team_, work.work_class_,
-                                        work.item_.need_);
+  work.item_.need_ =
+      sizes_.Reservation(work.item_.team_, work.work_class_, work.item_.need_);
   const auto key = work.item_.key_;
   retry_budget_.OnFresh();
   if (auto* task = std::get_if<TaskWork>(&work.kind_)) {
--- a/lentilscale/holding_desk.cc
+++ b/lentilscale/holding_desk.cc
@@ -37,9 +37,8 @@
       link_(link),
       metrics_(metrics),
       options_(options) {
-  link_->AddMethod("ask_holding", [this](const Json::Value& params) {
-    return OnAsk(params);
-  });
+  link_->AddMethod("ask_holding",
+                   [this](const Json::Value& params) { return OnAsk(params); });
   link_->AddMethod("holding_moved", [this](const Json::Value& params) {
     return OnMoved(params);
   });
@@ -214,11 +213,10 @@
     }
     // Limits smaller than the number of shards start in different places for
     // different teams.
-    std::sort(shards.begin(), shards.end(),
-              [&demand](const auto& a, const auto& b) {
-                return StableHash(a + demand.team_) <
-                       StableHash(b + demand.team_);
-              });
+    std::sort(
+        shards.begin(), shards.end(), [&demand](const auto& a, const auto& b) {
+          return StableHash(a + demand.team_) < StableHash(b + demand.team_);
+        });
     if (const auto plan =
             holdings_.PlanCreate(demand.team_, team->limit_, shards)) {
       Commit(*plan);
--- a/lentilscale/holdings.cc
+++ b/lentilscale/holdings.cc
@@ -153,8 +153,8 @@
   HoldingPlan plan{team, RevisionOf(team), *record, {}};
   for (const auto& shard : owned) {
     const auto held = record->Of(shard);
-    const auto part = std::min(
-        held, std::max<std::int64_t>(held - held * limit / sum, 1));
+    const auto part =
+        std::min(held, std::max<std::int64_t>(held - held * limit / sum, 1));
     const auto excess = plan.record_.Sum() - limit;
     const auto taken = std::min(part, excess);
     if (taken > 0) {
--- a/lentilscale/home_desk.cc
+++ b/lentilscale/home_desk.cc
@@ -62,7 +62,8 @@
 auto HomeDesk::OpenFrom(const std::string& shard,
                         const RequestSnapshot& snapshot) -> void {
   Close(shard);
-  const auto it = homes_.emplace(shard, Home{RequestTable(options_), false, {}});
+  const auto it =
+      homes_.emplace(shard, Home{RequestTable(options_), false, {}});
   it.first->second.table_.OpenFrom(snapshot);
 }
 
--- a/lentilscale/home_desk.h
+++ b/lentilscale/home_desk.h
@@ -39,8 +39,7 @@
  public:
   using Done = std::function<void(const HomeReply&)>;
 
-  explicit HomeDesk(const RequestTable::Options& options)
-      : options_(options) {}
+  explicit HomeDesk(const RequestTable::Options& options) : options_(options) {}
 
   auto Open(const std::string& shard, Millis horizon) -> void;
   auto OpenFrom(const std::string& shard, const RequestSnapshot& snapshot)
--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -90,7 +90,8 @@
 
 auto OnHead(h2o_http1client_t* client, const char* error, int /*minor*/,
             int status, h2o_iovec_t /*msg*/, h2o_header_t* /*headers*/,
-            std::size_t /*num_headers*/, int /*rlen*/) -> h2o_http1client_body_cb {
+            std::size_t /*num_headers*/, int /*rlen*/)
+    -> h2o_http1client_body_cb {
   auto* state = static_cast<CallState*>(client->data);
   if (error != nullptr && error != h2o_http1client_error_is_eos) {
     Finish(state, HttpOutcome::kUnknown);
@@ -122,9 +123,9 @@
 }
 
 auto MakeHead(const HttpCall& call) -> std::string {
-  auto head = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
-                          call.method_, call.path_, call.address_,
-                          call.body_.size());
+  auto head =
+      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
+                  call.method_, call.path_, call.address_, call.body_.size());
   if (!call.bearer_.empty()) {
     head += fmt::format("Authorization: Bearer {}\r\n", call.bearer_);
   }
@@ -197,9 +198,9 @@
     return;
   }
   core_->counters_.bytes_out_ += state->head_.size() + state->body_.size();
-  uv_timer_start(&state->timer_, OnTimeout,
-                 static_cast<std::uint64_t>(std::max<Millis>(call.timeout_ms_, 1)),
-                 0);
+  uv_timer_start(
+      &state->timer_, OnTimeout,
+      static_cast<std::uint64_t>(std::max<Millis>(call.timeout_ms_, 1)), 0);
   h2o_http1client_connect_with_pool(&state->client_, state, &core_->context_,
                                     &pool->pool_, OnConnect);
 }
--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -80,7 +80,7 @@
   const auto request = MakeRequest(*req);
   auto reply = std::make_shared<HttpReply>(req);
   auto** slot = static_cast<ReplyHook**>(
-      h2o_mem_alloc_shared(&req->pool, sizeof(ReplyHook*), DisposeHook));
+      h2o_mem_alloc_shared(&req->pool, sizeof(void*), DisposeHook));
   *slot = new ReplyHook{reply, handler->counters_};
   ++handler->counters_->open_requests_;
   handler->counters_->bytes_in_ += request.path_.size() + request.body_.size();
@@ -132,7 +132,8 @@
   }
   auto* req = req_;
   req_ = nullptr;
-  auto* handler = reinterpret_cast<LentilHandler*>(req->pathconf->handlers.entries[0]);
+  auto* handler =
+      reinterpret_cast<LentilHandler*>(req->pathconf->handlers.entries[0]);
   handler->counters_->bytes_out_ += body.size();
   req->res.status = status;
   req->res.reason = "lentilscale";
@@ -172,9 +173,10 @@
     if (listener_ == nullptr) {
       return;
     }
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_), [](uv_handle_t* handle) {
-      delete reinterpret_cast<uv_tcp_t*>(handle);
-    });
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+             [](uv_handle_t* handle) {
+               delete reinterpret_cast<uv_tcp_t*>(handle);
+             });
     listener_ = nullptr;
   }
 };
@@ -217,8 +219,8 @@
   core->listener_ = new uv_tcp_t;
   uv_tcp_init(loop, core->listener_);
   core->listener_->data = core.get();
-  auto status = uv_tcp_bind(core->listener_,
-                            reinterpret_cast<const sockaddr*>(&addr), 0);
+  auto status =
+      uv_tcp_bind(core->listener_, reinterpret_cast<const sockaddr*>(&addr), 0);
   if (status == 0) {
     status = uv_listen(reinterpret_cast<uv_stream_t*>(core->listener_),
                        kListenBacklog, Core::OnConnection);
--- a/lentilscale/instance_list.cc
+++ b/lentilscale/instance_list.cc
@@ -38,24 +38,23 @@
     return;
   }
   is_reading_ = true;
-  remote.client_->Send({remote.address_, "GET",
-                        fmt::format("/v1/instances?since={}", version_), "", "",
-                        kTimeoutMs},
-                       [this, callback](const HttpResult& result) {
-                         is_reading_ = false;
-                         const auto is_ok =
-                             result.outcome_ == HttpOutcome::kAnswered &&
-                             result.status_ == kHttpOk && Apply(result.body_);
-                         if (!is_ok) {
-                           callback(nullptr);
-                           return;
-                         }
-                         std::vector<WorkerInfo> workers;
-                         for (const auto& [id, info] : known_) {
-                           workers.push_back(info);
-                         }
-                         callback(&workers);
-                       });
+  remote.client_->Send(
+      {remote.address_, "GET", fmt::format("/v1/instances?since={}", version_),
+       "", "", kTimeoutMs},
+      [this, callback](const HttpResult& result) {
+        is_reading_ = false;
+        const auto is_ok = result.outcome_ == HttpOutcome::kAnswered &&
+                           result.status_ == kHttpOk && Apply(result.body_);
+        if (!is_ok) {
+          callback(nullptr);
+          return;
+        }
+        std::vector<WorkerInfo> workers;
+        for (const auto& [id, info] : known_) {
+          workers.push_back(info);
+        }
+        callback(&workers);
+      });
 }
 
 // Returns true if anything changed.
--- a/lentilscale/job.cc
+++ b/lentilscale/job.cc
@@ -72,7 +72,8 @@
   const auto is_allowed = [](unsigned char c) {
     return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
   };
-  if (id.size() > kMaxIdLength || !std::all_of(id.begin(), id.end(), is_allowed)) {
+  if (id.size() > kMaxIdLength ||
+      !std::all_of(id.begin(), id.end(), is_allowed)) {
     throw Error(ErrorCode::kBadRequest,
                 "'job_id' must be up to 128 letters, digits, '-', '_' or '.'");
   }
@@ -261,16 +262,15 @@
 auto Job::OnTaskEnded(JobTask& task, const TaskEvent& event, Millis now)
     -> void {
   task.progress_ms_ = std::max(task.progress_ms_, event.progress_ms_);
-  const auto is_failure =
-      event.kind_ == TaskEventKind::kEnded &&
-      (event.status_ == EndStatus::kFailed ||
-       event.status_ == EndStatus::kOutOfMemory);
+  const auto is_failure = event.kind_ == TaskEventKind::kEnded &&
+                          (event.status_ == EndStatus::kFailed ||
+                           event.status_ == EndStatus::kOutOfMemory);
   if (state_ != JobState::kActive) {
     SetState(task, TaskState::kCancelled, now);
     return;
   }
-  const auto is_ok = event.kind_ == TaskEventKind::kEnded &&
-                     event.status_ == EndStatus::kOk;
+  const auto is_ok =
+      event.kind_ == TaskEventKind::kEnded && event.status_ == EndStatus::kOk;
   if (is_ok && spec_.kind_ != JobKind::kService) {
     SetState(task, TaskState::kDone, now);
     return;
@@ -301,10 +301,9 @@
 // come back as pending one by one, and the job starts anew when all have.
 auto Job::RestartAll(Millis now) -> void {
   ++restarts_;
-  const auto has_failed =
-      std::any_of(tasks_.begin(), tasks_.end(), [](const auto& task) {
-        return task.state_ == TaskState::kFailed;
-      });
+  const auto has_failed = std::any_of(
+      tasks_.begin(), tasks_.end(),
+      [](const auto& task) { return task.state_ == TaskState::kFailed; });
   if (has_failed) {
     FailAll("a task failed too often", now);
     return;
@@ -490,9 +489,8 @@
 }
 
 auto Job::IsOver() const -> bool {
-  return std::all_of(tasks_.begin(), tasks_.end(), [](const auto& item) {
-    return IsFinal(item.state_);
-  });
+  return std::all_of(tasks_.begin(), tasks_.end(),
+                     [](const auto& item) { return IsFinal(item.state_); });
 }
 
 auto Job::UpdateState(Millis now) -> void {
--- a/lentilscale/job_dispatch.cc
+++ b/lentilscale/job_dispatch.cc
@@ -63,6 +63,7 @@
     return a.allowance_ > b.allowance_;
   });
   std::vector<std::string> out;
+  out.reserve(scored.size());
   for (const auto& item : scored) {
     out.push_back(item.id_);
   }
@@ -179,7 +180,8 @@
   std::map<std::string, std::vector<std::string>, std::less<>> by_member;
   for (const auto index : job.TasksToStop()) {
     auto& task = entry.job_.task(index);
-    const auto epoch = homes_.contains(job.home()) ? homes_[job.home()].epoch_ : 0;
+    const auto epoch =
+        homes_.contains(job.home()) ? homes_[job.home()].epoch_ : 0;
     by_member[task.executor_].push_back(job.MakeRef(index, epoch).Key());
     task.is_stopping_ = true;
   }
@@ -201,12 +203,12 @@
   auto& gang = entry.gang_;
   const auto counts = entry.job_.Counts();
   const auto wanted = entry.job_.spec().count_ - counts.done_;
-  const auto is_ready = counts.pending_ == wanted && wanted > 0 &&
-                        entry.job_.state() == JobState::kActive &&
-                        static_cast<std::int64_t>(
-                            entry.job_.PendingTasks(
-                                static_cast<std::size_t>(wanted), WallMs())
-                                .size()) == wanted;
+  const auto is_ready =
+      counts.pending_ == wanted && wanted > 0 &&
+      entry.job_.state() == JobState::kActive &&
+      static_cast<std::int64_t>(
+          entry.job_.PendingTasks(static_cast<std::size_t>(wanted), WallMs())
+              .size()) == wanted;
   switch (gang.phase_) {
     case HoldPhase::kNone:
       if (is_ready && now >= gang.not_before_ms_) {
@@ -267,8 +269,8 @@
   params["count"] = Json::Int64(wanted - held);
   params["ttl_ms"] = Json::Int64(kHoldTtlMs);
   const auto hold = gang.hold_;
-  link_->Call(state == nullptr ? "" : state->record_.address_, kHoldRoom, params,
-              [this, id, hold](const PeerAnswer& answer) {
+  link_->Call(state == nullptr ? "" : state->record_.address_, kHoldRoom,
+              params, [this, id, hold](const PeerAnswer& answer) {
                 OnHoldAnswered(id, hold, answer);
               });
 }
--- a/lentilscale/job_keeper.cc
+++ b/lentilscale/job_keeper.cc
@@ -78,8 +78,10 @@
   for (const auto& info : workers) {
     auto& largest = largest_[info.service_];
     largest.slots_ = std::max(largest.slots_, info.capacity_.slots_);
-    largest.cpu_milli_ = std::max(largest.cpu_milli_, info.capacity_.cpu_milli_);
-    largest.memory_mb_ = std::max(largest.memory_mb_, info.capacity_.memory_mb_);
+    largest.cpu_milli_ =
+        std::max(largest.cpu_milli_, info.capacity_.cpu_milli_);
+    largest.memory_mb_ =
+        std::max(largest.memory_mb_, info.capacity_.memory_mb_);
     largest.accelerators_ =
         std::max(largest.accelerators_, info.capacity_.accelerators_);
     slots_[info.service_] += info.capacity_.slots_;
@@ -220,7 +222,8 @@
     }
   };
   check(spec.need_.slots_, largest.slots_, "slots");
-  check(spec.need_.cpu_milli_, largest.cpu_milli_, "thousandths of a processor");
+  check(spec.need_.cpu_milli_, largest.cpu_milli_,
+        "thousandths of a processor");
   check(spec.need_.memory_mb_, largest.memory_mb_, "MB of memory");
   check(spec.need_.accelerators_, largest.accelerators_, "accelerators");
   const auto slots = slots_.at(spec.service_);
@@ -252,7 +255,8 @@
   try {
     CheckRunnable(spec);
   } catch (const Error& e) {
-    LogEvent(Event::kJobNeverRunnable, {{"job", spec.id_}, {"reason", e.what()}});
+    LogEvent(Event::kJobNeverRunnable,
+             {{"job", spec.id_}, {"reason", e.what()}});
     throw;
   }
   Entry entry;
@@ -334,7 +338,8 @@
 auto JobKeeper::Write(const std::string& id) -> void {
   auto& entry = jobs_.at(id);
   const auto* home = view_->FindShard(entry.job_.home());
-  if (entry.is_writing_ || home == nullptr || home->owner_ != options_.self_id_) {
+  if (entry.is_writing_ || home == nullptr ||
+      home->owner_ != options_.self_id_) {
     return;
   }
   entry.is_writing_ = true;
@@ -419,7 +424,8 @@
   }
   for (const auto& id : expired) {
     StoreTxn txn;
-    txn.IfModRevision(JobKey(id), jobs_.at(id).mod_revision_).Delete(JobKey(id));
+    txn.IfModRevision(JobKey(id), jobs_.at(id).mod_revision_)
+        .Delete(JobKey(id));
     store_->Commit(txn, [](const StoreResult& /*result*/) {});
     jobs_.erase(id);
   }
@@ -472,10 +478,9 @@
     }
   }
   const auto is_needed =
-      std::any_of(jobs_.begin(), jobs_.end(),
-                  [](const auto& item) {
-                    return item.second.needs_sweep_ || item.second.wants_sweep_;
-                  });
+      std::any_of(jobs_.begin(), jobs_.end(), [](const auto& item) {
+        return item.second.needs_sweep_ || item.second.wants_sweep_;
+      });
   if (is_needed && !sweep_.is_running_ && now >= sweep_.next_ms_) {
     StartSweep(now);
   }
@@ -544,11 +549,9 @@
 
 auto JobKeeper::FinishSweep() -> void {
   sweep_.is_running_ = false;
-  const auto is_covered =
-      std::all_of(view_->shards().begin(), view_->shards().end(),
-                  [this](const auto& item) {
-                    return sweep_.open_.contains(item.first);
-                  });
+  const auto is_covered = std::all_of(
+      view_->shards().begin(), view_->shards().end(),
+      [this](const auto& item) { return sweep_.open_.contains(item.first); });
   if (sweep_.has_failed_ || !is_covered ||
       sweep_.shard_changes_ != view_->shard_changes()) {
     return;
@@ -580,7 +583,7 @@
       continue;
     }
     Entry entry;
-  entry.job_ = Job::Create(spec, home, WallMs());
+    entry.job_ = Job::Create(spec, home, WallMs());
     entry.job_.MarkDirty();
     jobs_.emplace(spec.id_, std::move(entry));
   }
--- a/lentilscale/kv_server.cc
+++ b/lentilscale/kv_server.cc
@@ -34,10 +34,10 @@
 
 auto EncodeBase64(const std::string& bytes) -> std::string {
   std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const auto length = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char*>(out.data()),
-      reinterpret_cast<const unsigned char*>(bytes.data()),
-      static_cast<int>(bytes.size()));
+  const auto length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
   out.resize(static_cast<std::size_t>(length));
   return out;
 }
@@ -47,10 +47,10 @@
     throw Error(ErrorCode::kBadRequest, "malformed base64");
   }
   std::string out(text.size() / 4 * 3 + 1, '\0');
-  const auto length = EVP_DecodeBlock(
-      reinterpret_cast<unsigned char*>(out.data()),
-      reinterpret_cast<const unsigned char*>(text.data()),
-      static_cast<int>(text.size()));
+  const auto length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
   if (length < 0) {
     throw Error(ErrorCode::kBadRequest, "malformed base64");
   }
@@ -270,8 +270,7 @@
     writes = writes || !op.isMember("request_range");
   }
   // A transaction counts as one call, a write if it could write.
-  const auto could_write =
-      writes || !GetArray(body, "compare").empty();
+  const auto could_write = writes || !GetArray(body, "compare").empty();
   ++(could_write ? counts_.writes_ : counts_.reads_);
   if (writes) {
     ++revision_;
--- a/lentilscale/load_report.cc
+++ b/lentilscale/load_report.cc
@@ -44,15 +44,16 @@
 }
 
 auto IsFull(const FleetSample& sample) -> bool {
-  return sample.slots_ > 0 && static_cast<double>(sample.used_slots_) >=
-                                  kFullFraction *
-                                      static_cast<double>(sample.slots_);
+  return sample.slots_ > 0 &&
+         static_cast<double>(sample.used_slots_) >=
+             kFullFraction * static_cast<double>(sample.slots_);
 }
 
 // Demand in slots of a plan, as its rate times its mean run time.
 auto DemandOf(const TeamLoadPlan& plan) -> double {
   return plan.calls_per_s_ * plan.run_ms_ / 1000 +
-         plan.jobs_per_s_ * static_cast<double>(plan.job_tasks_ * plan.job_slots_) *
+         plan.jobs_per_s_ *
+             static_cast<double>(plan.job_tasks_ * plan.job_slots_) *
              plan.job_run_ms_ / 1000;
 }
 
@@ -73,8 +74,8 @@
   double shares = 0;
   for (const auto& plan : experiment.teams_) {
     if (DemandOf(plan) > 0) {
-      items.push_back({plan.name_, DemandOf(plan),
-                       static_cast<double>(plan.share_)});
+      items.push_back(
+          {plan.name_, DemandOf(plan), static_cast<double>(plan.share_)});
       shares += static_cast<double>(plan.share_);
     }
   }
@@ -100,8 +101,8 @@
   if (samples.empty() || samples.front().slots_ == 0) {
     return 0;
   }
-  const auto entitled = EntitledParts(
-      experiment, static_cast<double>(samples.front().slots_));
+  const auto entitled =
+      EntitledParts(experiment, static_cast<double>(samples.front().slots_));
   for (std::size_t first = 0; first < samples.size(); ++first) {
     std::size_t last = first;
     while (last < samples.size() &&
@@ -167,8 +168,9 @@
   for (std::size_t n = 0; n < all.size(); ++n) {
     std::string points;
     for (std::size_t i = 0; i < all[n].xs_.size(); ++i) {
-      points += fmt::format("{:.1f},{:.1f} ", all[n].xs_[i] / max_x * kPlotWidth,
-                            kPlotHeight - all[n].ys_[i] / max_y * (kPlotHeight - 10));
+      points +=
+          fmt::format("{:.1f},{:.1f} ", all[n].xs_[i] / max_x * kPlotWidth,
+                      kPlotHeight - all[n].ys_[i] / max_y * (kPlotHeight - 10));
     }
     const auto* colour = kColours[n % kColourCount];
     svg += fmt::format(
@@ -176,10 +178,11 @@
         "<text x='{}' y='{}' font-size='11' fill='{}'>{}</text>",
         colour, points, 8 + 110 * n, kPlotHeight + 18, colour, all[n].name_);
   }
-  return svg + fmt::format("<text x='4' y='12' font-size='11'>{:.3g}</text>"
-                           "<text x='{}' y='{}' font-size='11' "
-                           "text-anchor='end'>{:.3g} s</text></svg>",
-                           max_y, kPlotWidth - 4, kPlotHeight - 4, max_x);
+  return svg + fmt::format(
+                   "<text x='4' y='12' font-size='11'>{:.3g}</text>"
+                   "<text x='{}' y='{}' font-size='11' "
+                   "text-anchor='end'>{:.3g} s</text></svg>",
+                   max_y, kPlotWidth - 4, kPlotHeight - 4, max_x);
 }
 
 }  // namespace
@@ -222,15 +225,17 @@
     out["share_error"][fmt::format("{}s", static_cast<int>(window))] =
         ShareError(experiment, result, window);
   }
-  for (const auto* name : {"store_reads", "store_writes", "store_lease_calls"}) {
+  for (const auto* name :
+       {"store_reads", "store_writes", "store_lease_calls"}) {
     out["store_calls_per_s"][name] =
         MetricSum(result, fmt::format("lentilscale_{}_total", name)) /
         experiment.seconds_;
   }
   out["cross_region_bytes"] =
       MetricSum(result, "lentilscale_cross_region_bytes_total");
-  for (const auto& [entry, values] : result.metrics_) {
-    const auto value = [&values](const char* name) {
+  for (const auto& item : result.metrics_) {
+    const auto& entry = item.first;
+    const auto value = [&values = item.second](const char* name) {
       const auto it = values.find(name);
       return it == values.end() ? 0.0 : it->second;
     };
@@ -256,7 +261,8 @@
   Series use{"used part of slots", {}, {}};
   std::map<std::string, Series> teams;
   for (const auto& sample : result.samples_) {
-    const auto slots = static_cast<double>(std::max<std::int64_t>(sample.slots_, 1));
+    const auto slots =
+        static_cast<double>(std::max<std::int64_t>(sample.slots_, 1));
     use.xs_.push_back(sample.at_s_);
     use.ys_.push_back(static_cast<double>(sample.used_slots_) / slots);
     for (const auto& plan : experiment.teams_) {
@@ -270,10 +276,10 @@
   Series answered{"answered calls per second", {}, {}};
   for (std::size_t i = 0; i < result.answered_by_second_.size(); ++i) {
     answered.xs_.push_back(static_cast<double>(i));
-    answered.ys_.push_back(
-        static_cast<double>(result.answered_by_second_[i]));
+    answered.ys_.push_back(static_cast<double>(result.answered_by_second_[i]));
   }
   std::vector<Series> shares;
+  shares.reserve(teams.size());
   for (auto& [name, series] : teams) {
     shares.push_back(std::move(series));
   }
--- a/lentilscale/load_run.cc
+++ b/lentilscale/load_run.cc
@@ -83,8 +83,8 @@
              [this, &fault] { RunFault(fault); });
   }
   const auto every = [this](Millis period, std::function<void()> function) {
-    timers_.push_back(std::make_unique<RepeatingTimer>(loop_, period,
-                                                       std::move(function)));
+    timers_.push_back(
+        std::make_unique<RepeatingTimer>(loop_, period, std::move(function)));
   };
   if (!targets_.workers_.empty()) {
     every(kSampleMs, [this] { Sample(); });
@@ -101,8 +101,8 @@
   RunAfter(loop_, static_cast<Millis>(experiment_.seconds_ * 1000), [this] {
     is_over_ = true;
     finish_by_ms_ = MonotonicMs() + kFinishGraceMs;
-    timers_.push_back(std::make_unique<RepeatingTimer>(
-        loop_, kSampleMs, [this] { Finish(); }));
+    timers_.push_back(std::make_unique<RepeatingTimer>(loop_, kSampleMs,
+                                                       [this] { Finish(); }));
   });
 }
 
@@ -204,11 +204,11 @@
   event["key"] = sent->plan_->key_;
   event["attempt"] = Json::Int64(sent->attempt_);
   Record(event);
-  client_.Send({PickEntry(), "POST",
-                "/v1/services/" + sent->plan_->service_ + "/calls",
-                DumpJson(body), sent->plan_->key_,
-                sent->plan_->deadline_ms_ + kTransportGraceMs},
-               [this, sent](const HttpResult& http) { OnAnswer(sent, http); });
+  client_.Send(
+      {PickEntry(), "POST", "/v1/services/" + sent->plan_->service_ + "/calls",
+       DumpJson(body), sent->plan_->key_,
+       sent->plan_->deadline_ms_ + kTransportGraceMs},
+      [this, sent](const HttpResult& http) { OnAnswer(sent, http); });
 }
 
 auto LoadRun::OnAnswer(const std::shared_ptr<Sent>& sent,
@@ -232,7 +232,8 @@
       kind = http.status_ == kHttpOk ? "answered"
              : not_run               ? "not_run"
                                      : "unknown";
-      wait = static_cast<double>(GetInt(body, "wait_ms", 0, INT64_MIN, INT64_MAX));
+      wait =
+          static_cast<double>(GetInt(body, "wait_ms", 0, INT64_MIN, INT64_MAX));
       if (kind == "answered" && body["answer"]["echo"] != sent->echo_) {
         ++result_.wrong_answers_;
         kind = "wrong";
@@ -411,22 +412,22 @@
 auto LoadRun::ReadMetrics(std::function<void()> done) -> void {
   auto left = std::make_shared<std::size_t>(targets_.entries_.size());
   for (const auto& entry : targets_.entries_) {
-    client_.Send({entry, "GET", "/metrics", "", "", kControlTimeoutMs},
-                 [this, entry, left, done](const HttpResult& http) {
-                   std::istringstream lines(http.body_);
-                   std::string name;
-                   double value = 0;
-                   for (std::string line; std::getline(lines, line);) {
-                     std::istringstream words(line);
-                     if (line.starts_with("lentilscale_") &&
-                         words >> name >> value) {
-                       result_.metrics_[entry][name] = value;
-                     }
-                   }
-                   if (--*left == 0) {
-                     done();
-                   }
-                 });
+    client_.Send(
+        {entry, "GET", "/metrics", "", "", kControlTimeoutMs},
+        [this, entry, left, done](const HttpResult& http) {
+          std::istringstream lines(http.body_);
+          std::string name;
+          double value = 0;
+          for (std::string line; std::getline(lines, line);) {
+            std::istringstream words(line);
+            if (line.starts_with("lentilscale_") && words >> name >> value) {
+              result_.metrics_[entry][name] = value;
+            }
+          }
+          if (--*left == 0) {
+            done();
+          }
+        });
   }
 }
 
--- a/lentilscale/load_run.h
+++ b/lentilscale/load_run.h
@@ -136,7 +136,6 @@
   std::string run_id_;
   std::int64_t next_id_ = 0;
   std::int64_t open_ = 0;
-  std::int64_t queued_ = 0;
   bool is_over_ = false;
   Millis finish_by_ms_ = 0;
 };
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -92,10 +92,10 @@
     return;
   }
   const auto now = WallMs();
-  auto line =
-      fmt::format("time={:%FT%T}.{:03}Z level={} event={} name={}",
-                  fmt::gmtime(static_cast<std::time_t>(now / 1000)), now % 1000,
-                  LogLevelName(info.level_), static_cast<int>(event), info.name_);
+  auto line = fmt::format("time={:%FT%T}.{:03}Z level={} event={} name={}",
+                          fmt::gmtime(static_cast<std::time_t>(now / 1000)),
+                          now % 1000, LogLevelName(info.level_),
+                          static_cast<int>(event), info.name_);
   for (const auto& field : fields) {
     line += fmt::format(" {}={}", field.key_, Quote(field.value_));
   }
--- a/lentilscale/members.cc
+++ b/lentilscale/members.cc
@@ -90,7 +90,8 @@
       changes.push_back({it->first, state.record_.address_, false});
     }
     const auto is_forgotten =
-        !state.is_listed_ && now - state.missing_since_ms_ > options_.forget_ms_;
+        !state.is_listed_ &&
+        now - state.missing_since_ms_ > options_.forget_ms_;
     it = is_forgotten ? members_.erase(it) : std::next(it);
   }
   changed_ms_ = changes.empty() ? changed_ms_ : now;
--- a/lentilscale/metrics.cc
+++ b/lentilscale/metrics.cc
@@ -18,21 +18,29 @@
 namespace bh = boost::histogram;
 
 constexpr auto kCounterNames = std::to_array<std::string_view>({
-    "calls_accepted",   "calls_answered",      "calls_not_run",
-    "calls_unknown",    "calls_repeated",      "calls_forwarded",
-    "retries",          "retries_denied",      "late_answers",
-    "tasks_started",    "tasks_ended",         "tasks_failed",
-    "tasks_lost",       "tasks_preempted",     "holdings_moved",
-    "heartbeats_sent",  "peer_bytes_out",      "peer_bytes_in",
-    "worker_bytes_out", "worker_bytes_in",     "store_reads",
-    "store_writes",     "store_lease_calls",   "store_relayed",
+    "calls_accepted",    "calls_answered",     "calls_not_run",
+    "calls_unknown",     "calls_repeated",     "calls_forwarded",
+    "retries",           "retries_denied",     "late_answers",
+    "tasks_started",     "tasks_ended",        "tasks_failed",
+    "tasks_lost",        "tasks_preempted",    "holdings_moved",
+    "heartbeats_sent",   "peer_bytes_out",     "peer_bytes_in",
+    "worker_bytes_out",  "worker_bytes_in",    "store_reads",
+    "store_writes",      "store_lease_calls",  "store_relayed",
     "shards_taken_over", "shards_handed_over", "cross_region_bytes",
 });
-static_assert(kCounterNames.size() == static_cast<std::size_t>(Counter::kCount));
+static_assert(kCounterNames.size() ==
+              static_cast<std::size_t>(Counter::kCount));
 
 constexpr auto kGaugeNames = std::to_array<std::string_view>({
-    "members", "shards_owned", "workers_open", "queued", "running", "ticket",
-    "rights_left_ms", "configuration_age_ms", "requests_remembered",
+    "members",
+    "shards_owned",
+    "workers_open",
+    "queued",
+    "running",
+    "ticket",
+    "rights_left_ms",
+    "configuration_age_ms",
+    "requests_remembered",
 });
 static_assert(kGaugeNames.size() == static_cast<std::size_t>(Gauge::kCount));
 
@@ -42,7 +50,8 @@
 constexpr auto kQuantiles = std::to_array<double>({0.5, 0.9, 0.99});
 
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
-using Histogram = decltype(bh::make_histogram(LogAxis(kBins, kLowest, kHighest)));
+using Histogram =
+    decltype(bh::make_histogram(LogAxis(kBins, kLowest, kHighest)));
 
 auto MakeHistogram() -> Histogram {
   return bh::make_histogram(LogAxis(kBins, kLowest, kHighest));
@@ -128,9 +137,10 @@
 auto Metrics::Text() const -> std::string {
   std::string out;
   for (std::size_t i = 0; i < counters_.size(); ++i) {
-    out += fmt::format("# TYPE lentilscale_{0}_total counter\n"
-                       "lentilscale_{0}_total {1}\n",
-                       kCounterNames[i], counters_[i]);
+    out += fmt::format(
+        "# TYPE lentilscale_{0}_total counter\n"
+        "lentilscale_{0}_total {1}\n",
+        kCounterNames[i], counters_[i]);
   }
   for (std::size_t i = 0; i < gauges_.size(); ++i) {
     out += fmt::format("# TYPE lentilscale_{0} gauge\nlentilscale_{0} {1}\n",
@@ -152,12 +162,12 @@
   }
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
-  out += fmt::format("# TYPE lentilscale_cpu_seconds_total counter\n"
-                     "lentilscale_cpu_seconds_total {:.3f}\n"
-                     "# TYPE lentilscale_resident_bytes gauge\n"
-                     "lentilscale_resident_bytes {}\n",
-                     Seconds(usage.ru_utime) + Seconds(usage.ru_stime),
-                     ResidentBytes());
+  out += fmt::format(
+      "# TYPE lentilscale_cpu_seconds_total counter\n"
+      "lentilscale_cpu_seconds_total {:.3f}\n"
+      "# TYPE lentilscale_resident_bytes gauge\n"
+      "lentilscale_resident_bytes {}\n",
+      Seconds(usage.ru_utime) + Seconds(usage.ru_stime), ResidentBytes());
   return out;
 }
 
--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -65,8 +65,8 @@
         &node->client_,
         Store::Options{settings.store_address_, settings.store_prefix_,
                        settings.store_timeout_ms_});
-    node->instances_ =
-        std::make_unique<InstanceList>(&node->client_, settings.platform_address_);
+    node->instances_ = std::make_unique<InstanceList>(
+        &node->client_, settings.platform_address_);
   }
   if (auto status = node->Listen(); !status.ok()) {
     return status;
@@ -74,10 +74,10 @@
   node->Wire();
   node->StartTimers();
   LogEvent(Event::kListening,
-           {{"address", fmt::format("{}:{}", settings.listen_address_,
-                                    node->port())},
-            {"peer_listener", fmt::format("{}:{}", settings.listen_address_,
-                                          node->peer_port())},
+           {{"address",
+             fmt::format("{}:{}", settings.listen_address_, node->port())},
+            {"peer_listener",
+             fmt::format("{}:{}", settings.listen_address_, node->peer_port())},
             {"peers", node->peer_address_},
             {"id", node->id_}});
   return node;
@@ -129,7 +129,8 @@
                       : settings_.advertise_address_;
   link_->SetSelfAddress(peer_address_);
   auto callers = HttpServer::Listen(
-      loop_, settings_.listen_address_, static_cast<int>(settings_.listen_port_),
+      loop_, settings_.listen_address_,
+      static_cast<int>(settings_.listen_port_),
       {static_cast<std::size_t>(settings_.max_body_bytes_), kServerIdleMs},
       [this](const HttpRequest& request, std::shared_ptr<HttpReply> reply) {
         api_->Serve(request, std::move(reply));
@@ -180,29 +181,28 @@
   executor.team_queue_ = settings_.team_queue_;
   executor_ = std::make_unique<Executor>(
       loop_, &client_, &metrics_, executor,
-      Executor::Hooks{rights, [this](const std::string&) { view_->PollSoon(); },
-                      [this](const TaskEvent& event) {
-                        tasks_->OnTaskEvent(event);
-                      },
-                      [](const std::string&) {}});
+      Executor::Hooks{
+          rights, [this](const std::string&) { view_->PollSoon(); },
+          [this](const TaskEvent& event) { tasks_->OnTaskEvent(event); },
+          [](const std::string&) {}});
 
   owner_ = std::make_unique<ShardOwner>(
       store_.get(), view_.get(), &members_, link_.get(), executor_.get(),
       &homes_, &metrics_,
       ShardOwner::Options{id_, peer_address_, settings_.session_ms_,
                           settings_.member_lease_s_ * 1000,
-                          settings_.clock_skew_ms_, settings_.shard_moves_per_s_},
-      ShardOwner::Hooks{rights,
-                        [this](const std::string& shard, std::int64_t epoch) {
-                          holdings_->OnOwned(shard);
-                          jobs_->OnOwned(shard, epoch);
-                        },
-                        [this](const std::string& shard) {
-                          jobs_->OnLost(shard);
-                        },
-                        [this](const std::string& shard, bool is_frozen) {
-                          jobs_->SetFrozen(shard, is_frozen);
-                        }});
+                          settings_.clock_skew_ms_,
+                          settings_.shard_moves_per_s_},
+      ShardOwner::Hooks{
+          rights,
+          [this](const std::string& shard, std::int64_t epoch) {
+            holdings_->OnOwned(shard);
+            jobs_->OnOwned(shard, epoch);
+          },
+          [this](const std::string& shard) { jobs_->OnLost(shard); },
+          [this](const std::string& shard, bool is_frozen) {
+            jobs_->SetFrozen(shard, is_frozen);
+          }});
   HoldingDesk::Options holding;
   holding.self_id_ = id_;
   holdings_ = std::make_unique<HoldingDesk>(store_.get(), view_.get(),
@@ -216,8 +216,8 @@
   router.retry_.percent_ = settings_.retry_percent_;
   router.seed_ = Seed(id_);
   router_ = std::make_unique<CallRouter>(
-      loop_, link_.get(), &members_, view_.get(), owner_.get(), executor_.get(),
-      &homes_, holdings_.get(), &metrics_, rights, router);
+      loop_, link_.get(), &members_, view_.get(), executor_.get(), &homes_,
+      holdings_.get(), &metrics_, rights, router);
   tasks_ = std::make_unique<TaskService>(
       loop_, link_.get(), executor_.get(), view_.get(),
       TaskService::Options{id_, settings_.clock_skew_ms_});
@@ -256,26 +256,25 @@
   link_->AddRequest(kStorePath, [this](const Json::Value& body,
                                        PeerLink::Responder respond) {
     const auto path = RequireString(body, "path");
-    store_->SendForPeer(
-        path, DumpJson(GetObject(body, "body")),
-        [respond](const HttpResult& result) {
-          Json::Value out;
-          out["outcome"] = static_cast<int>(result.outcome_);
-          out["status"] = result.status_;
-          out["body"] = result.body_;
-          respond(kHttpOk, out);
-        });
-  });
-  link_->AddRequest(kJobsPath, [this](const Json::Value& body,
-                                      PeerLink::Responder respond) {
-    jobs_->Handle(body, std::move(respond));
+    store_->SendForPeer(path, DumpJson(GetObject(body, "body")),
+                        [respond](const HttpResult& result) {
+                          Json::Value out;
+                          out["outcome"] = static_cast<int>(result.outcome_);
+                          out["status"] = result.status_;
+                          out["body"] = result.body_;
+                          respond(kHttpOk, out);
+                        });
   });
+  link_->AddRequest(
+      kJobsPath, [this](const Json::Value& body, PeerLink::Responder respond) {
+        jobs_->Handle(body, std::move(respond));
+      });
 }
 
 auto Node::StartTimers() -> void {
   const auto every = [this](Millis period, std::function<void()> function) {
-    timers_.push_back(std::make_unique<RepeatingTimer>(loop_, period,
-                                                       std::move(function)));
+    timers_.push_back(
+        std::make_unique<RepeatingTimer>(loop_, period, std::move(function)));
   };
   every(settings_.store_poll_ms_, [this] { view_->Poll(); });
   every(settings_.member_lease_s_ * 1000 / kRenewalsPerLease,
@@ -473,21 +472,21 @@
     Json::Value request;
     request["path"] = path;
     request["body"] = ParseJson(body);
-    link_->Ask(state->record_.address_, kStorePath, request,
-               2 * settings_.store_timeout_ms_,
-               [callback](const PeerAnswer& answer) {
-                 HttpResult result;
-                 result.outcome_ = answer.is_not_sent_ ? HttpOutcome::kNotSent
-                                                       : HttpOutcome::kUnknown;
-                 if (answer.is_ok_) {
-                   result.outcome_ = static_cast<HttpOutcome>(
-                       GetInt(answer.body_, "outcome", 2, 0, 2));
-                   result.status_ = static_cast<int>(
-                       GetInt(answer.body_, "status", 0, 0, 599));
-                   result.body_ = GetString(answer.body_, "body", "");
-                 }
-                 callback(result);
-               });
+    link_->Ask(
+        state->record_.address_, kStorePath, request,
+        2 * settings_.store_timeout_ms_, [callback](const PeerAnswer& answer) {
+          HttpResult result;
+          result.outcome_ = answer.is_not_sent_ ? HttpOutcome::kNotSent
+                                                : HttpOutcome::kUnknown;
+          if (answer.is_ok_) {
+            result.outcome_ = static_cast<HttpOutcome>(
+                GetInt(answer.body_, "outcome", 2, 0, 2));
+            result.status_ =
+                static_cast<int>(GetInt(answer.body_, "status", 0, 0, 599));
+            result.body_ = GetString(answer.body_, "body", "");
+          }
+          callback(result);
+        });
     return true;
   }
   return false;
--- a/lentilscale/peer_link.h
+++ b/lentilscale/peer_link.h
@@ -4,8 +4,9 @@
 // call that the peer answers from memory; a request that takes time is an HTTP
 // request that the peer answers when it has ended:
 //
-//   link.Call(address, "heartbeat", params, [](const PeerAnswer& answer) {...});
-//   link.Ask(address, "/peer/v1/execute", body, 5000, [](const auto& answer) {});
+//   link.Call(address, "heartbeat", params, [](const PeerAnswer& answer)
+//   {...}); link.Ask(address, "/peer/v1/execute", body, 5000, [](const auto&
+//   answer) {});
 //
 // Messages to the instance itself take the same paths without the network, so
 // that there is one code path for both.
--- a/lentilscale/request_table.cc
+++ b/lentilscale/request_table.cc
@@ -69,12 +69,12 @@
 
 auto RequestTable::Expire(Millis now) -> void {
   // Twice the skew covers a caller ahead and an instance behind.
-  const auto limit =
-      now - options_.retention_ms_ - 2 * options_.clock_skew_ms_;
+  const auto limit = now - options_.retention_ms_ - 2 * options_.clock_skew_ms_;
   while (!ages_.empty() && ages_.front().issued_ms_ < limit) {
     const auto it = entries_.find(ages_.front().key_);
-    const auto may_run = it != entries_.end() && !it->second.is_ended_ &&
-                         it->second.issued_ms_ >= now - options_.longest_run_ms_;
+    const auto may_run =
+        it != entries_.end() && !it->second.is_ended_ &&
+        it->second.issued_ms_ >= now - options_.longest_run_ms_;
     if (may_run) {
       // Look again after another retention.
       ages_.push_back({now, ages_.front().key_});
--- a/lentilscale/request_table.h
+++ b/lentilscale/request_table.h
@@ -19,6 +19,7 @@
 #ifndef LENTILSCALE_REQUEST_TABLE_H_
 #define LENTILSCALE_REQUEST_TABLE_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -33,7 +34,8 @@
 struct RequestKey {
   std::string team_;
   std::string request_id_;
-  auto operator<=>(const RequestKey&) const = default;
+  auto operator<=>(const RequestKey&) const
+      -> std::strong_ordering = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // A remembered answer.
--- a/lentilscale/resources.h
+++ b/lentilscale/resources.h
@@ -50,8 +50,9 @@
   // NSDI 2011.
   auto DominantShare(const Resources& total) const -> double {
     const auto share = [](std::int64_t part, std::int64_t whole) {
-      return whole <= 0 ? 0.0
-                        : static_cast<double>(part) / static_cast<double>(whole);
+      return whole <= 0
+                 ? 0.0
+                 : static_cast<double>(part) / static_cast<double>(whole);
     };
     return std::max({share(slots_, total.slots_),
                      share(cpu_milli_, total.cpu_milli_),
--- a/lentilscale/rpc_client_codec.cc
+++ b/lentilscale/rpc_client_codec.cc
@@ -27,9 +27,9 @@
  public:
   explicit ReplayConnector(const std::string& text) : text_(text) {}
 
-  void SendRPCMessage(const std::string& /*message*/,
-                      std::string& result) throw(jsonrpc::JsonRpcException)
-      override {
+  void SendRPCMessage(
+      const std::string& /*message*/,
+      std::string& result) throw(jsonrpc::JsonRpcException) override {
     result = text_;
   }
 
--- a/lentilscale/rpc_server.cc
+++ b/lentilscale/rpc_server.cc
@@ -37,10 +37,9 @@
 
   auto Add(const std::string& name, Method method) -> void {
     methods_[name] = std::move(method);
-    bindAndAddMethod(
-        jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
-                           nullptr),
-        &Server::Dispatch);
+    bindAndAddMethod(jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME,
+                                        jsonrpc::JSON_OBJECT, nullptr),
+                     &Server::Dispatch);
   }
 
   auto HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input,
--- a/lentilscale/scheduler.cc
+++ b/lentilscale/scheduler.cc
@@ -17,8 +17,8 @@
 namespace lentilscale {
 namespace {
 
-constexpr auto kLaneNames = std::to_array<std::string_view>(
-    {"urgent", "call", "service", "batch"});
+constexpr auto kLaneNames =
+    std::to_array<std::string_view>({"urgent", "call", "service", "batch"});
 constexpr auto kPolicyNames =
     std::to_array<std::string_view>({"fair", "first_fit", "random"});
 constexpr auto kWaitReasonTexts = std::to_array<std::string_view>({
--- a/lentilscale/scheduler.h
+++ b/lentilscale/scheduler.h
@@ -166,8 +166,7 @@
       -> void;
   auto Release(const std::string& key, Millis now) -> void;
   auto FindOccupant(const std::string& key) const -> const Occupant*;
-  auto OccupantsOf(const std::string& worker) const
-      -> std::vector<std::string>;
+  auto OccupantsOf(const std::string& worker) const -> std::vector<std::string>;
   // Gives the room of occupant `hold` to `item`.
   auto TakeOver(const std::string& hold, const WorkItem& item, Millis now)
       -> std::optional<Placement>;
--- a/lentilscale/settings.cc
+++ b/lentilscale/settings.cc
@@ -239,8 +239,8 @@
   ParseState state;
   const auto line = ini_parse_string(text.c_str(), HandleLine, &state);
   if (line != 0) {
-    const auto problem =
-        state.problem_.empty() ? "not a section or a key=value" : state.problem_;
+    const auto problem = state.problem_.empty() ? "not a section or a key=value"
+                                                : state.problem_;
     return absl::InvalidArgumentError(
         fmt::format("{}:{}: {}", name, line, problem));
   }
@@ -266,8 +266,9 @@
       section = row.section_;
       text += fmt::format("{}[{}]\n", text.empty() ? "" : "\n", section);
     }
-    text += fmt::format("; {} ({})\n{} = {}\n", row.help_, RangeText(row),
-                        row.key_, std::visit(ValuePrinter{defaults}, row.member_));
+    text +=
+        fmt::format("; {} ({})\n{} = {}\n", row.help_, RangeText(row), row.key_,
+                    std::visit(ValuePrinter{defaults}, row.member_));
   }
   return text;
 }
--- a/lentilscale/shard_map.cc
+++ b/lentilscale/shard_map.cc
@@ -31,7 +31,9 @@
   const auto has = [&members](auto matches) {
     return std::any_of(members.begin(), members.end(), matches);
   };
-  if (has([&](const auto& m) { return m.data_centre_ == shard.data_centre_; })) {
+  if (has([&](const auto& m) {
+        return m.data_centre_ == shard.data_centre_;
+      })) {
     return "data_centre/" + shard.data_centre_;
   }
   if (has([&](const auto& m) { return m.region_ == shard.region_; })) {
@@ -62,8 +64,8 @@
   ShardName out;
   const auto* end = text.data() + text.size();
   const auto has_parts = first != std::string_view::npos && first < last;
-  if (!has_parts || std::from_chars(text.data() + last + 1, end, out.index_).ptr !=
-                        end) {
+  if (!has_parts ||
+      std::from_chars(text.data() + last + 1, end, out.index_).ptr != end) {
     throw Error(ErrorCode::kBadRequest,
                 fmt::format("'{}' is not a shard name", text));
   }
@@ -80,8 +82,7 @@
              const std::string& rack, std::int64_t shards_per_data_centre)
     -> std::string {
   const auto hash = StableHash(service + "/" + data_centre + "/" + rack);
-  const auto index =
-      hash % static_cast<std::uint64_t>(shards_per_data_centre);
+  const auto index = hash % static_cast<std::uint64_t>(shards_per_data_centre);
   return ShardName{service, data_centre, static_cast<std::int64_t>(index)}
       .ToString();
 }
--- a/lentilscale/shard_owner.cc
+++ b/lentilscale/shard_owner.cc
@@ -77,9 +77,10 @@
 auto ShardOwner::Tick(Millis now) -> void {
   const auto elapsed = std::min<Millis>(now - last_tick_ms_, 1000);
   last_tick_ms_ = now;
-  move_tokens_ = std::min(
-      move_tokens_ + static_cast<double>(elapsed * options_.moves_per_s_) / 1000,
-      static_cast<double>(options_.moves_per_s_));
+  move_tokens_ =
+      std::min(move_tokens_ +
+                   static_cast<double>(elapsed * options_.moves_per_s_) / 1000,
+               static_cast<double>(options_.moves_per_s_));
   for (const auto& [shard, record] : view_->shards()) {
     if (places_.contains(shard)) {
       continue;
@@ -105,7 +106,8 @@
                            std::vector<ShardRecord>& claims) -> void {
   const auto* record = view_->FindShard(shard);
   const auto owned = owned_.find(shard);
-  const auto is_named = record != nullptr && record->owner_ == options_.self_id_;
+  const auto is_named =
+      record != nullptr && record->owner_ == options_.self_id_;
   if (owned != owned_.end()) {
     if (!is_named) {
       Lose(shard);
@@ -339,24 +341,24 @@
   StoreTxn txn;
   txn.IfModRevision(ShardKey(shard), record.mod_revision_)
       .Put(ShardKey(shard), DumpJson(record.ToJson()));
-  store_->Commit(txn, [this, record, snapshot,
-                       respond](const StoreResult& result) {
-    claiming_.erase(record.shard_);
-    if (result.outcome_ != StoreOutcome::kAnswered || !result.succeeded_) {
-      // If the swap took effect after all, the next reading finds this
-      // instance named, and the passed table is still there for it.
-      Json::Value refusal;
-      refusal["code"] = "not_owner";
-      respond(503, refusal);
-      return;
-    }
-    passed_.erase(record.shard_);
-    auto claimed = record;
-    claimed.mod_revision_ = result.revision_;
-    view_->OnShard(claimed);
-    Take(claimed, true, &snapshot);
-    respond(kHttpOk, Json::Value(Json::objectValue));
-  });
+  store_->Commit(
+      txn, [this, record, snapshot, respond](const StoreResult& result) {
+        claiming_.erase(record.shard_);
+        if (result.outcome_ != StoreOutcome::kAnswered || !result.succeeded_) {
+          // If the swap took effect after all, the next reading finds this
+          // instance named, and the passed table is still there for it.
+          Json::Value refusal;
+          refusal["code"] = "not_owner";
+          respond(503, refusal);
+          return;
+        }
+        passed_.erase(record.shard_);
+        auto claimed = record;
+        claimed.mod_revision_ = result.revision_;
+        view_->OnShard(claimed);
+        Take(claimed, true, &snapshot);
+        respond(kHttpOk, Json::Value(Json::objectValue));
+      });
 }
 
 }  // namespace lentilscale
--- a/lentilscale/size_model.cc
+++ b/lentilscale/size_model.cc
@@ -36,10 +36,10 @@
   }
   auto& learned = classes_[ClassKey(team, work_class)];
   ++learned.reports_;
-  learned.cpu_milli_ = RaiseOrDecay(learned.cpu_milli_,
-                                    static_cast<double>(used.cpu_milli_));
-  learned.memory_mb_ = RaiseOrDecay(learned.memory_mb_,
-                                    static_cast<double>(used.memory_mb_));
+  learned.cpu_milli_ =
+      RaiseOrDecay(learned.cpu_milli_, static_cast<double>(used.cpu_milli_));
+  learned.memory_mb_ =
+      RaiseOrDecay(learned.memory_mb_, static_cast<double>(used.memory_mb_));
 }
 
 auto SizeModel::OnOutOfMemory(const std::string& team,
--- a/lentilscale/store.cc
+++ b/lentilscale/store.cc
@@ -152,9 +152,9 @@
                        HttpClient::Callback callback) -> void {
   struct Sender {
     auto operator()(const Remote& remote) const -> void {
-      remote.client_->Send({options_.address_, "POST", path_, body_, "",
-                            options_.timeout_ms_},
-                           callback_);
+      remote.client_->Send(
+          {options_.address_, "POST", path_, body_, "", options_.timeout_ms_},
+          callback_);
     }
     auto operator()(const Embedded& embedded) const -> void {
       HttpResult result{HttpOutcome::kAnswered, kHttpOk, ""};
@@ -197,8 +197,8 @@
   }
   last_probe_ms_ = now;
   SendDirect(path, text, [this, callback](const HttpResult& result) {
-    const auto is_answered = result.outcome_ == HttpOutcome::kAnswered &&
-                             result.status_ < 500;
+    const auto is_answered =
+        result.outcome_ == HttpOutcome::kAnswered && result.status_ < 500;
     direct_failures_ = is_answered ? 0 : direct_failures_ + 1;
     is_any_path_ok_ = is_answered;
     callback(result);
--- a/lentilscale/store.h
+++ b/lentilscale/store.h
@@ -123,9 +123,9 @@
 
   // Sends a call to a peer that can reach the store; returns false if there
   // is none.
-  using Relay = std::function<bool(const std::string& path,
-                                   const std::string& body,
-                                   HttpClient::Callback callback)>;
+  using Relay =
+      std::function<bool(const std::string& path, const std::string& body,
+                         HttpClient::Callback callback)>;
 
   // A store over HTTP.
   Store(HttpClient* client, const Options& options);
--- a/lentilscale/store_view.cc
+++ b/lentilscale/store_view.cc
@@ -140,8 +140,7 @@
 
 auto StoreView::OnShard(const ShardRecord& record) -> void {
   const auto it = shards_.find(record.shard_);
-  if (it != shards_.end() &&
-      it->second.mod_revision_ >= record.mod_revision_) {
+  if (it != shards_.end() && it->second.mod_revision_ >= record.mod_revision_) {
     return;
   }
   const auto is_new = it == shards_.end();
--- a/lentilscale/store_view.h
+++ b/lentilscale/store_view.h
@@ -93,8 +93,8 @@
 
  private:
   auto Apply(const StoreResult& result) -> void;
-  auto ApplyEntry(const StoreEntry& entry,
-                  std::vector<MemberRecord>& members) -> void;
+  auto ApplyEntry(const StoreEntry& entry, std::vector<MemberRecord>& members)
+      -> void;
 
   uv_loop_t* loop_;
   Store* store_;
--- a/lentilscale/task_service.cc
+++ b/lentilscale/task_service.cc
@@ -67,13 +67,14 @@
       executor_(executor),
       view_(view),
       options_(options) {
-  link_->AddMethod(kOfferTasks,
-                   [this](const Json::Value& params) { return OnOffer(params); });
+  link_->AddMethod(kOfferTasks, [this](const Json::Value& params) {
+    return OnOffer(params);
+  });
   link_->AddMethod(kTasksOfHomes, [this](const Json::Value& params) {
     return OnTasksOfHomes(params);
   });
-  link_->AddMethod(kHoldRoom,
-                   [this](const Json::Value& params) { return OnHold(params); });
+  link_->AddMethod(
+      kHoldRoom, [this](const Json::Value& params) { return OnHold(params); });
   link_->AddMethod(kReleaseHold, [this](const Json::Value& params) {
     executor_->ReleaseHold(RequireString(params, "hold"));
     return Json::Value(Json::objectValue);
--- a/lentilscale/task_service.h
+++ b/lentilscale/task_service.h
@@ -85,8 +85,7 @@
 };
 
 // Builds the work of a task from its job's specification.
-auto MakeTaskWork(const JobSpec& spec, Lane lane, const TaskRef& ref)
-    -> Work;
+auto MakeTaskWork(const JobSpec& spec, Lane lane, const TaskRef& ref) -> Work;
 
 }  // namespace lentilscale
 
--- a/lentilscale/ticket_desk.cc
+++ b/lentilscale/ticket_desk.cc
@@ -163,10 +163,10 @@
   const auto number = submission.ticket_.number_;
   LogEvent(Event::kTicketRefused, {{"number", std::to_string(number)},
                                    {"head", std::to_string(head)}});
-  auto body = ErrorBody(
-      ErrorCode::kTicketConflict,
-      fmt::format("ticket {} does not follow the head, which is {}", number,
-                  head));
+  auto body =
+      ErrorBody(ErrorCode::kTicketConflict,
+                fmt::format("ticket {} does not follow the head, which is {}",
+                            number, head));
   body["head"] = Json::Int64(head);
   submission.done_(GetErrorInfo(ErrorCode::kTicketConflict).http_status_, body);
 }
--- a/lentilscale/ticket_file.cc
+++ b/lentilscale/ticket_file.cc
@@ -111,8 +111,8 @@
   ReadState state;
   const auto line = ini_parse_string(text.c_str(), HandleLine, &state);
   if (line != 0) {
-    const auto problem =
-        state.problem_.empty() ? "not a section or a key=value" : state.problem_;
+    const auto problem = state.problem_.empty() ? "not a section or a key=value"
+                                                : state.problem_;
     return absl::InvalidArgumentError(
         fmt::format("{}:{}: {}", name, line, problem));
   }
--- a/lentilscale/timer.cc
+++ b/lentilscale/timer.cc
@@ -15,8 +15,9 @@
 
 template <typename State>
 auto CloseAndDelete(State* state) -> void {
-  uv_close(reinterpret_cast<uv_handle_t*>(&state->timer_),
-           [](uv_handle_t* handle) { delete static_cast<State*>(handle->data); });
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&state->timer_),
+      [](uv_handle_t* handle) { delete static_cast<State*>(handle->data); });
 }
 
 }  // namespace
@@ -49,9 +50,7 @@
   const auto period = static_cast<std::uint64_t>(period_ms);
   uv_timer_start(
       &state_->timer_,
-      [](uv_timer_t* timer) {
-        static_cast<State*>(timer->data)->function_();
-      },
+      [](uv_timer_t* timer) { static_cast<State*>(timer->data)->function_(); },
       period, period);
 }
 
--- a/lentilscale/worker_health.cc
+++ b/lentilscale/worker_health.cc
@@ -34,9 +34,9 @@
   if (state.failures_ < options_.failures_ || state.until_ms_ > now) {
     return false;
   }
-  state.wait_ms_ = state.wait_ms_ == 0
-                       ? options_.first_wait_ms_
-                       : std::min(2 * state.wait_ms_, options_.longest_wait_ms_);
+  state.wait_ms_ = state.wait_ms_ == 0 ? options_.first_wait_ms_
+                                       : std::min(2 * state.wait_ms_,
+                                                  options_.longest_wait_ms_);
   state.until_ms_ = now + state.wait_ms_;
   // After the wait a single further failure sets it aside again.
   state.failures_ = options_.failures_ - 1;
--- a/lentilscale/worker_model.cc
+++ b/lentilscale/worker_model.cc
@@ -134,7 +134,8 @@
   item.started_ms_ = now;
   const auto& work = request.work_;
   const auto run_ms = GetInt(work, "run_ms", 0, 0, INT64_MAX / 4);
-  const auto cpu = GetInt(work, "cpu_milli", request.need_.cpu_milli_, 0, kMaxAmount);
+  const auto cpu =
+      GetInt(work, "cpu_milli", request.need_.cpu_milli_, 0, kMaxAmount);
   const auto memory =
       GetInt(work, "memory_mb", request.need_.memory_mb_, 0, kMaxAmount);
   item.used_.cpu_milli_ = std::min(cpu, request.need_.cpu_milli_);
@@ -196,7 +197,8 @@
     const auto& item = running_.at(key);
     const auto is_call = item.is_call_;
     const auto is_due = item.ends_ms_ != 0 && item.ends_ms_ <= now;
-    const auto ended = End(key, is_due ? item.status_ : EndStatus::kLapsed, now);
+    const auto ended =
+        End(key, is_due ? item.status_ : EndStatus::kLapsed, now);
     if (is_call) {
       calls.push_back({key, ended.answer_});
     }
--- a/lentilscale/worker_model.h
+++ b/lentilscale/worker_model.h
@@ -89,8 +89,9 @@
   };
 
   auto End(const std::string& key, EndStatus status, Millis now) -> EndedTask;
-  auto Record(const char* what, const std::string& key, const StartRequest& request,
-              const std::string& detail) const -> void;
+  auto Record(const char* what, const std::string& key,
+              const StartRequest& request, const std::string& detail) const
+      -> void;
 
   std::string id_;
   Resources capacity_;
--- a/lentilscale/worker_server.cc
+++ b/lentilscale/worker_server.cc
@@ -29,12 +29,12 @@
   auto worker = std::make_unique<Worker>();
   worker->model_ = std::make_unique<WorkerModel>(id, capacity, recorder_);
   auto* raw = worker.get();
-  auto server = HttpServer::Listen(
-      loop_, "127.0.0.1", port, {kMaxBodyBytes, kIdleMs},
-      [this, raw](const HttpRequest& request,
-                  std::shared_ptr<HttpReply> reply) {
-        Serve(*raw, request, std::move(reply));
-      });
+  auto server =
+      HttpServer::Listen(loop_, "127.0.0.1", port, {kMaxBodyBytes, kIdleMs},
+                         [this, raw](const HttpRequest& request,
+                                     std::shared_ptr<HttpReply> reply) {
+                           Serve(*raw, request, std::move(reply));
+                         });
   if (!server.ok()) {
     return server.status();
   }
--- a/lentilscale/worker_session.cc
+++ b/lentilscale/worker_session.cc
@@ -1,9 +1,10 @@
-// An answer that was overtaken is recognized by its sequence number and dropped:
-// what it says of running tasks may be wrong by then. The expiry bound rests on the echo rule: a renewal extends the
-// session to the worker's clock in the last answer that this owner has seen,
-// plus the term. That clock was read before the answer arrived here, so
-// "arrival of the last answer + term" is never too early, even if a renewal
-// was sent and its answer lost, or was delayed by a pause of this process.
+// An answer that was overtaken is recognized by its sequence number and
+// dropped: what it says of running tasks may be wrong by then. The expiry bound
+// rests on the echo rule: a renewal extends the session to the worker's clock
+// in the last answer that this owner has seen, plus the term. That clock was
+// read before the answer arrived here, so "arrival of the last answer + term"
+// is never too early, even if a renewal was sent and its answer lost, or was
+// delayed by a pause of this process.
 
 #include "lentilscale/worker_session.h"
 
@@ -102,10 +103,10 @@
 }
 
 auto WorkerSession::ExpiryBound() const -> Millis {
-  const auto own = last_answer_ms_ == 0
-                       ? 0
-                       : last_answer_ms_ + options_.session_ms_ +
-                             options_.drift_ms_;
+  const auto own =
+      last_answer_ms_ == 0
+          ? 0
+          : last_answer_ms_ + options_.session_ms_ + options_.drift_ms_;
   return std::max(own, previous_until_);
 }
 
--- a/testing/fake_platform.cc
+++ b/testing/fake_platform.cc
@@ -61,7 +61,8 @@
         ServeFake(request.path_, body, *reply);
       }
     } catch (const Error& e) {
-      reply->Send(e.info().http_status_, R"({"error":")" + std::string(e.what()) + "\"}");
+      reply->Send(e.info().http_status_,
+                  R"({"error":")" + std::string(e.what()) + "\"}");
     }
   }
 
@@ -146,8 +147,7 @@
       down_until_ms_ = now + GetInt(body, "down_ms", 0, 0, 3600000);
       fault_until_ms_ = now + GetInt(body, "for_ms", 0, 0, 3600000);
       slow_ms_ = GetInt(body, "slow_ms", 0, 0, 60000);
-      lose_percent_ =
-          static_cast<int>(GetInt(body, "lose_percent", 0, 0, 100));
+      lose_percent_ = static_cast<int>(GetInt(body, "lose_percent", 0, 0, 100));
       Json::Value event = body;
       event["event"] = "store_fault";
       record_.Write(event);
--- a/testing/fake_workers.cc
+++ b/testing/fake_workers.cc
@@ -93,13 +93,15 @@
  public:
   explicit FakeWorkers(uv_loop_t* loop)
       : record_(absl::GetFlag(FLAGS_record)),
-        server_(loop, [this](const Json::Value& event) { record_.Write(event); }) {}
+        server_(loop,
+                [this](const Json::Value& event) { record_.Write(event); }) {}
 
   // Adds all workers of the fleet; returns "" or the problem.
   auto Add(const Fleet& fleet) -> std::string {
     for (const auto& [name, group] : fleet) {
       const auto count = group.Number("count", 1);
-      const auto per_rack = std::max<std::int64_t>(group.Number("per_rack", 5), 1);
+      const auto per_rack =
+          std::max<std::int64_t>(group.Number("per_rack", 5), 1);
       for (std::int64_t i = 0; i < count; ++i) {
         WorkerInfo info;
         info.id_ = fmt::format("{}-{}", name, i);
@@ -107,10 +109,9 @@
         info.data_centre_ = group.Text("data_centre");
         info.region_ = group.Text("region");
         info.rack_ = fmt::format("{}-rack-{}", name, i / per_rack);
-        info.capacity_ = {group.Number("slots", 8),
-                          group.Number("cpu_milli", 24000),
-                          group.Number("memory_mb", 49152),
-                          group.Number("accelerators", 0)};
+        info.capacity_ = {
+            group.Number("slots", 8), group.Number("cpu_milli", 24000),
+            group.Number("memory_mb", 49152), group.Number("accelerators", 0)};
         auto address = server_.Add(info.id_, info.capacity_, 0);
         if (!address.ok()) {
           return std::string(address.status().message());
@@ -127,9 +128,12 @@
     for (const auto& info : infos) {
       body["instances"].append(info.ToJson());
     }
-    const HttpCall call{absl::GetFlag(FLAGS_platform), "POST",
-                        "/fake/instances",             DumpJson(body),
-                        "",                            kRegisterTimeoutMs};
+    const HttpCall call{absl::GetFlag(FLAGS_platform),
+                        "POST",
+                        "/fake/instances",
+                        DumpJson(body),
+                        "",
+                        kRegisterTimeoutMs};
     sync_.Send(call);
   }
 
@@ -168,8 +172,7 @@
     const auto result =
         sync_.Send({absl::GetFlag(FLAGS_proxy), "POST", "/fake/link",
                     DumpJson(body), "", kRegisterTimeoutMs});
-    return fmt::format("127.0.0.1:{}",
-                       ParseJson(result.body_)["port"].asInt());
+    return fmt::format("127.0.0.1:{}", ParseJson(result.body_)["port"].asInt());
   }
 
   auto Change(const Json::Value& body) -> void {
@@ -254,8 +257,7 @@
   }
   auto server = HttpServer::Listen(
       loop, "127.0.0.1", absl::GetFlag(FLAGS_port), HttpLimits{},
-      [&workers](const HttpRequest& request,
-                 std::shared_ptr<HttpReply> reply) {
+      [&workers](const HttpRequest& request, std::shared_ptr<HttpReply> reply) {
         workers.Serve(request, *reply);
       });
   if (!server.ok()) {
--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -68,10 +68,14 @@
 };
 
 constexpr FaultName kFaultNames[] = {
-    {FaultKind::kNone, "none"},           {FaultKind::kDelay, "delay"},
-    {FaultKind::kCut, "cut"},             {FaultKind::kReset, "reset"},
-    {FaultKind::kBlackhole, "blackhole"}, {FaultKind::kHalfOpen, "half_open"},
-    {FaultKind::kSlow, "slow"},           {FaultKind::kDuplicate, "duplicate"},
+    {FaultKind::kNone, "none"},
+    {FaultKind::kDelay, "delay"},
+    {FaultKind::kCut, "cut"},
+    {FaultKind::kReset, "reset"},
+    {FaultKind::kBlackhole, "blackhole"},
+    {FaultKind::kHalfOpen, "half_open"},
+    {FaultKind::kSlow, "slow"},
+    {FaultKind::kDuplicate, "duplicate"},
 };
 
 struct Fault {
@@ -133,7 +137,8 @@
     });
     sockaddr_in bound{};
     auto length = static_cast<int>(sizeof(bound));
-    uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&bound), &length);
+    uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&bound),
+                       &length);
     port_ = ntohs(bound.sin_port);
   }
 
@@ -186,8 +191,8 @@
     auto* connection = new Connection;
     connection->link_ = this;
     InitSide(connection, connection->caller_);
-    if (uv_accept(AsStream(&listener_), AsStream(&connection->caller_.socket_)) !=
-            0 ||
+    if (uv_accept(AsStream(&listener_),
+                  AsStream(&connection->caller_.socket_)) != 0 ||
         fault_.kind_ == FaultKind::kCut) {
       connections_.insert(connection);
       Close(connection);
@@ -380,8 +385,8 @@
       const auto body = ParseJson(request.body_);
       Json::Value out(Json::objectValue);
       if (request.path_ == "/fake/link") {
-        out["port"] = AddLink(RequireString(body, "name"),
-                              RequireString(body, "target"));
+        out["port"] =
+            AddLink(RequireString(body, "name"), RequireString(body, "target"));
       } else {
         SetFault(body);
       }
