--- a/lentilscale/call_router.cc
+++ b/lentilscale/call_router.cc
@@ -26,6 +26,8 @@
 constexpr Millis kPeerGraceMs = 400;
 constexpr Millis kRetryDelayMs = 20;
 constexpr Millis kMoveDelayMs = 30;
+// Covers many seconds of the peak rate of one instance.
+constexpr std::size_t kRememberedExecutions = 50000;
 constexpr int kMovedEndSends = 5;
 constexpr Millis kMaxDeadlineMs = 24 * 3600 * 1000;
 constexpr double kLeastWeight = 0.01;
@@ -140,6 +142,10 @@
   });
   link_->AddRequest(kExecutePath, [this](const Json::Value& body,
                                          PeerLink::Responder respond) {
+    if (IsRepeatedExecution(RequireString(body, "execution"))) {
+      throw Error(ErrorCode::kInProgress,
+                  "this execution was asked for before");
+    }
     ExecuteHere(Call::FromJson(body, MonotonicMs()),
                 [respond](const CallOutcome& outcome) {
                   respond(kHttpOk, OutcomeToJson(outcome));
@@ -410,7 +416,9 @@
     return;
   }
   const auto* state = members_->Find(target);
-  const auto body = call.ToJson(now);
+  auto body = call.ToJson(now);
+  body["execution"] =
+      fmt::format("{}:{}", options_.self_id_, ++next_execution_);
   const auto is_far = state->record_.region_ != options_.region_;
   if (is_far) {
     metrics_->Add(Counter::kCrossRegionBytes,
@@ -434,6 +442,18 @@
              });
 }
 
+auto CallRouter::IsRepeatedExecution(const std::string& id) -> bool {
+  if (!executions_.insert(id).second) {
+    return true;
+  }
+  execution_ages_.push_back(id);
+  if (execution_ages_.size() > kRememberedExecutions) {
+    executions_.erase(execution_ages_.front());
+    execution_ages_.pop_front();
+  }
+  return false;
+}
+
 auto CallRouter::OnExecuted(std::shared_ptr<Execution> execution,
                             const CallOutcome& outcome) -> void {
   const auto is_refused = outcome.kind_ == CallOutcome::Kind::kNotRun &&
--- a/lentilscale/call_router.h
+++ b/lentilscale/call_router.h
@@ -11,6 +11,7 @@
 #ifndef LENTILSCALE_CALL_ROUTER_H_
 #define LENTILSCALE_CALL_ROUTER_H_
 
+#include <deque>
 #include <functional>
 #include <random>
 #include <set>
@@ -110,6 +111,8 @@
                    std::function<void(const CallOutcome&)> done) -> void;
   auto OnExecuted(std::shared_ptr<Execution> execution,
                   const CallOutcome& outcome) -> void;
+  // Returns true if this execution was seen before: a message may come twice.
+  auto IsRepeatedExecution(const std::string& id) -> bool;
   auto Finish(const CallOutcome& outcome) const -> HomeReply;
   auto RightsUntilWall() const -> Millis;
   auto OnRequestEnded(const Json::Value& params) -> Json::Value;
@@ -127,6 +130,10 @@
   RetryBudget retry_budget_;
   std::mt19937_64 random_;
   std::int64_t next_call_ = 0;
+  std::int64_t next_execution_ = 0;
+  // Executions that were asked for lately, oldest first.
+  std::set<std::string> executions_;
+  std::deque<std::string> execution_ages_;
   std::int64_t open_routes_ = 0;
   std::vector<MovedEnd> moved_ends_;
 };
