Never call a request 'not run' after an attempt whose outcome is unknown

Change: FinalOutcome turns such a refusal into 'unknown'. The cluster script no longer mixes up the logs of an instance and its replacement.

--- a/examples/cluster.sh
+++ b/examples/cluster.sh
@@ -60,7 +60,9 @@
 # Starts entry instance N in DIR; its settings may be extended by
 # CLUSTER_SETTINGS, lines of "section.key=value".
 entry_start() {
-  local dir=$1 n=$2 places place store peer_port advertise line
+  local dir=$1 n=$2 places place store peer_port advertise line log
+  ENTRY_STARTS[n]=$((${ENTRY_STARTS[n]:-0} + 1))
+  log=$dir/entry-$n-${ENTRY_STARTS[n]}.log
   places=($CLUSTER_PLACES)
   place=${places[$((n % ${#places[@]}))]}
   store=$PLATFORM
@@ -92,12 +94,12 @@
       echo "${line%%=*} = ${line#*=}"
     done
   } > "$dir/entry-$n.ini"
-  "$BIN/lentild" --settings="$dir/entry-$n.ini" 2>> "$dir/entry-$n.log" &
+  "$BIN/lentild" --settings="$dir/entry-$n.ini" 2> "$log" &
   ENTRY_PIDS[n]=$!
   CLUSTER_PIDS+=($!)
-  ENTRY_PORTS[n]=$(wait_port "$dir/entry-$n.log" address)
+  ENTRY_PORTS[n]=$(wait_port "$log" address)
   if [ -n "$PROXY" ]; then
-    proxy_link "peer-$n" "127.0.0.1:$(wait_port "$dir/entry-$n.log" peer_listener)" > /dev/null
+    proxy_link "peer-$n" "127.0.0.1:$(wait_port "$log" peer_listener)" > /dev/null
   fi
 }
 
@@ -119,6 +121,7 @@
   local dir=$1 fleet=$2 entries=$3 n
   mkdir -p "$dir"
   ENTRY_PIDS=()
+  ENTRY_STARTS=()
   ENTRY_PORTS=()
   stand_ins_start "$dir" "$fleet" || return 1
   for n in $(seq 0 $((entries - 1))); do
--- a/lentilscale/call_router.cc
+++ b/lentilscale/call_router.cc
@@ -388,7 +388,7 @@
     outcome.kind_ = CallOutcome::Kind::kNotRun;
     outcome.code_ = ErrorCode::kDeadlinePassed;
     outcome.reason_ = "no instance could start it before its deadline";
-    execution->done_(outcome);
+    execution->done_(FinalOutcome(outcome, execution->may_have_run_));
     return;
   }
   std::string target;
@@ -460,16 +460,17 @@
                           GetErrorInfo(outcome.code_).can_retry_;
   const auto is_repeatable = outcome.kind_ == CallOutcome::Kind::kUnknown &&
                              execution->call_.is_idempotent_;
+  execution->may_have_run_ |= outcome.kind_ == CallOutcome::Kind::kUnknown;
   const auto has_time = MonotonicMs() < execution->call_.deadline_ms_;
   const auto can_retry = (is_refused || is_repeatable) && has_time &&
                          execution->attempts_ < options_.attempts_;
   if (!can_retry) {
-    execution->done_(outcome);
+    execution->done_(FinalOutcome(outcome, execution->may_have_run_));
     return;
   }
   if (!retry_budget_.TryTake()) {
     metrics_->Add(Counter::kRetriesDenied);
-    execution->done_(outcome);
+    execution->done_(FinalOutcome(outcome, execution->may_have_run_));
     return;
   }
   metrics_->Add(Counter::kRetries);
--- a/lentilscale/call_router.h
+++ b/lentilscale/call_router.h
@@ -90,6 +90,8 @@
     std::function<void(const CallOutcome&)> done_;
     std::int64_t attempts_ = 0;
     std::set<std::string> tried_;
+    // An attempt ended with an unknown outcome.
+    bool may_have_run_ = false;
   };
 
   struct MovedEnd {
--- a/lentilscale/load_run.cc
+++ b/lentilscale/load_run.cc
@@ -223,11 +223,13 @@
   auto kind = std::string("cut");
   auto code = std::string("transport");
   auto wait = 0.0;
+  auto reason = std::string();
   auto not_run = http.outcome_ == HttpOutcome::kNotSent;
   if (http.outcome_ == HttpOutcome::kAnswered) {
     try {
       const auto body = ParseJson(http.body_);
       code = GetString(body, "code", "");
+      reason = GetString(body, "reason", "");
       not_run = GetBool(body, "not_run", false);
       kind = http.status_ == kHttpOk ? "answered"
              : not_run               ? "not_run"
@@ -250,6 +252,7 @@
   event["attempt"] = Json::Int64(sent->attempt_);
   event["kind"] = kind;
   event["code"] = code;
+  event["reason"] = reason;
   event["not_run"] = not_run;
   Record(event);
   if (!sent->is_counted_) {
--- a/lentilscale/work.cc
+++ b/lentilscale/work.cc
@@ -19,6 +19,17 @@
 
 }  // namespace
 
+auto FinalOutcome(const CallOutcome& last, bool may_have_run) -> CallOutcome {
+  auto out = last;
+  if (may_have_run && last.kind_ == CallOutcome::Kind::kNotRun) {
+    out.kind_ = CallOutcome::Kind::kUnknown;
+    out.code_ = ErrorCode::kOutcomeUnknown;
+    out.reason_ =
+        "an earlier attempt may have run; the last one: " + last.reason_;
+  }
+  return out;
+}
+
 auto TaskRef::FromJson(const Json::Value& object) -> TaskRef {
   TaskRef out;
   out.job_ = RequireString(object, "job");
--- a/lentilscale/work.h
+++ b/lentilscale/work.h
@@ -35,6 +35,10 @@
   Millis wait_ms_ = 0;
 };
 
+// Returns the outcome of a call whose last attempt ended as `last`. If an
+// earlier attempt may have run, "not run" is no longer true of the call.
+auto FinalOutcome(const CallOutcome& last, bool may_have_run) -> CallOutcome;
+
 // A call that an instance executes.
 struct CallWork {
   bool is_idempotent_ = false;
--- a/testing/judge.cc
+++ b/testing/judge.cc
@@ -141,8 +141,8 @@
       if (request.starts_with("n-")) {
         const auto [it, is_new] = ran.emplace(request, worker + " " + key);
         if (!is_new) {
-          Break("double_run", request + ": " + it->second + " and " + worker +
-                                  " " + key);
+          Break("double_run",
+                request + ": " + it->second + " and " + worker + " " + key);
         }
       }
       if (!task.empty()) {
@@ -224,7 +224,8 @@
     std::set<std::string> live;
     for (const auto& event : workers_) {
       const auto what = event["event"].asString();
-      const auto id = event["worker"].asString() + " " + event["key"].asString();
+      const auto id =
+          event["worker"].asString() + " " + event["key"].asString();
       const auto team = event["tag"]["team"].asString();
       if (what == "end" && live.erase(id) > 0) {
         --running[team];
@@ -257,7 +258,8 @@
     for (const auto& event : workers_) {
       const auto it = left.find(event["worker"].asString());
       if (event["event"] == "start" && it != left.end() &&
-          event["t_ms"].asInt64() > it->second + absl::GetFlag(FLAGS_leave_ms)) {
+          event["t_ms"].asInt64() >
+              it->second + absl::GetFlag(FLAGS_leave_ms)) {
         Break("work_after_leaving", event["worker"].asString());
       }
     }
@@ -365,10 +367,9 @@
       }
     }
     out["total"] = Json::Int64(total);
-    out["starts"] = Json::UInt64(
-        static_cast<std::size_t>(std::count_if(
-            workers_.begin(), workers_.end(),
-            [](const auto& event) { return event["event"] == "start"; })));
+    out["starts"] = Json::UInt64(static_cast<std::size_t>(std::count_if(
+        workers_.begin(), workers_.end(),
+        [](const auto& event) { return event["event"] == "start"; })));
     for (const auto& [team, count] : most_) {
       out["most_running"][team] = Json::Int64(count);
     }
