Mend three causes of double starts, false refusals and exceeded limits

A draining instance no longer takes shards back, and shards that are lost are dropped before the same reading confirms rights. Ruled out: stale offers (attempt numbers show one keeper), clock skew (one clock).

--- a/lentilscale/executor.cc
+++ b/lentilscale/executor.cc
@@ -334,6 +334,7 @@
     scheduler.AddWorker(
         {info.id_, session.shard(), info.rack_, info.data_centre_, capacity});
   }
+  FailCallsOfOldBoot(worker);
   for (const auto& running : answer.running_) {
     AdoptRunning(worker, running);
   }
@@ -349,6 +350,13 @@
   auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
   const auto call = calls_.find(running.key_);
   if (call != calls_.end()) {
+    // A call of this instance that outlived a time without the shard takes
+    // room again.
+    const auto& item = call->second.work_.item_;
+    scheduler.Occupy(
+        running.key_,
+        {worker, item.team_, item.group_, item.lane_, item.need_, now, false},
+        now);
     if (call->second.phase_ == CallPhase::kResolving) {
       sessions_.at(worker).PollAt(now + kResolvePeriodMs);
     }
@@ -483,6 +491,25 @@
   }
 }
 
+// The worker restarted after these calls were sent: whether they ran is not
+// known, and it will never tell.
+auto Executor::FailCallsOfOldBoot(const std::string& worker) -> void {
+  const auto boot = sessions_.at(worker).boot();
+  std::vector<std::string> failed;
+  for (const auto& [key, call] : calls_) {
+    if (call.phase_ != CallPhase::kQueued && call.worker_ == worker &&
+        call.boot_ != boot) {
+      failed.push_back(key);
+    }
+  }
+  for (const auto& key : failed) {
+    CallOutcome outcome;
+    outcome.worker_ = worker;
+    outcome.reason_ = "its worker restarted";
+    FinishCall(key, std::move(outcome));
+  }
+}
+
 auto Executor::OnWorkerLost(const std::string& worker) -> void {
   LogEvent(Event::kWorkerLost, {{"worker", worker}});
   std::vector<std::string> tasks;
--- a/lentilscale/executor.h
+++ b/lentilscale/executor.h
@@ -147,6 +147,8 @@
     Millis sent_ms_ = 0;
     Millis placed_ms_ = 0;
     std::int64_t attempts_ = 0;
+    // Run of the worker to which the call was sent.
+    std::int64_t boot_ = 0;
   };
 
   enum class TaskPhase { kQueued, kStarting, kRunning, kStopping };
@@ -211,6 +213,7 @@
       -> void;
   auto FindMissing(const std::string& worker, const SessionAnswer& answer,
                    Millis sent) -> void;
+  auto FailCallsOfOldBoot(const std::string& worker) -> void;
   auto OnWorkerLost(const std::string& worker) -> void;
   auto OnHealth(const std::string& worker, const std::string& group, bool is_ok)
       -> void;
--- a/lentilscale/job.cc
+++ b/lentilscale/job.cc
@@ -214,12 +214,12 @@
           home_, epoch};
 }
 
-auto Job::SetState(JobTask& task, TaskState state, Millis now) -> void {
+auto Job::SetState(JobTask& task, TaskState state) -> void {
   if (IsFinal(state) && task.state_ != state) {
     is_dirty_ = true;
   }
   task.state_ = state;
-  task.since_ms_ = now;
+  task.changed_at_ = ++change_count_;
   if (state != TaskState::kRunning && state != TaskState::kOffered) {
     task.executor_.clear();
     task.worker_.clear();
@@ -243,19 +243,18 @@
 }
 
 auto Job::OnOffered(std::int64_t index, std::int64_t attempt,
-                    const std::string& executor, Millis now) -> void {
+                    const std::string& executor) -> void {
   auto& item = task(index);
-  SetState(item, TaskState::kOffered, now);
+  SetState(item, TaskState::kOffered);
   item.attempt_ = attempt;
   item.executor_ = executor;
   item.version_ = spec_.version_;
 }
 
-auto Job::OnOfferRefused(std::int64_t index, std::int64_t attempt, Millis now)
-    -> void {
+auto Job::OnOfferRefused(std::int64_t index, std::int64_t attempt) -> void {
   auto& item = task(index);
   if (item.state_ == TaskState::kOffered && item.attempt_ == attempt) {
-    SetState(item, TaskState::kPending, now);
+    SetState(item, TaskState::kPending);
   }
 }
 
@@ -266,21 +265,21 @@
                           (event.status_ == EndStatus::kFailed ||
                            event.status_ == EndStatus::kOutOfMemory);
   if (state_ != JobState::kActive) {
-    SetState(task, TaskState::kCancelled, now);
+    SetState(task, TaskState::kCancelled);
     return;
   }
   const auto is_ok =
       event.kind_ == TaskEventKind::kEnded && event.status_ == EndStatus::kOk;
   if (is_ok && spec_.kind_ != JobKind::kService) {
-    SetState(task, TaskState::kDone, now);
+    SetState(task, TaskState::kDone);
     return;
   }
   const auto index = &task - tasks_.data();
   if (spec_.kind_ == JobKind::kService && index >= spec_.count_) {
-    SetState(task, TaskState::kCancelled, now);
+    SetState(task, TaskState::kCancelled);
     return;
   }
-  SetState(task, TaskState::kPending, now);
+  SetState(task, TaskState::kPending);
   if (is_failure) {
     ++task.failures_;
     task.progress_ms_ = 0;
@@ -290,7 +289,7 @@
   }
   if (is_failure && spec_.kind_ != JobKind::kService &&
       task.failures_ >= spec_.max_failures_) {
-    SetState(task, TaskState::kFailed, now);
+    SetState(task, TaskState::kFailed);
   }
   if (spec_.kind_ == JobKind::kAllAtOnce) {
     RestartAll(now);
@@ -318,7 +317,7 @@
   reason_ = reason;
   for (auto& task : tasks_) {
     if (task.state_ == TaskState::kPending) {
-      SetState(task, TaskState::kFailed, now);
+      SetState(task, TaskState::kFailed);
     }
     task.is_stopping_ = !IsFinal(task.state_);
   }
@@ -338,7 +337,7 @@
   }
   if (event.kind_ == TaskEventKind::kStarted) {
     if (item.state_ == TaskState::kOffered) {
-      SetState(item, TaskState::kRunning, now);
+      SetState(item, TaskState::kRunning);
     }
     item.executor_ = event.executor_;
     item.worker_ = event.worker_;
@@ -352,7 +351,7 @@
   return true;
 }
 
-auto Job::Reconcile(const std::vector<Report>& reports, Millis since,
+auto Job::Reconcile(const std::vector<Report>& reports, std::int64_t since,
                     Millis now) -> void {
   std::map<std::int64_t, const Report*> latest;
   for (const auto& report : reports) {
@@ -368,13 +367,13 @@
   }
   for (std::size_t i = 0; i < tasks_.size(); ++i) {
     auto& item = tasks_[i];
-    if (IsFinal(item.state_) || item.since_ms_ > since) {
+    if (IsFinal(item.state_) || item.changed_at_ > since) {
       continue;
     }
     const auto it = latest.find(static_cast<std::int64_t>(i));
     if (it == latest.end()) {
       if (item.state_ != TaskState::kPending) {
-        SetState(item, TaskState::kPending, now);
+        SetState(item, TaskState::kPending);
       }
       continue;
     }
@@ -384,8 +383,7 @@
     }
     item.attempt_ = report.event_.ref_.attempt_;
     SetState(item,
-             report.is_started_ ? TaskState::kRunning : TaskState::kOffered,
-             now);
+             report.is_started_ ? TaskState::kRunning : TaskState::kOffered);
     item.executor_ = report.event_.executor_;
     item.worker_ = report.event_.worker_;
     if (item.version_.empty()) {
@@ -403,7 +401,7 @@
   is_dirty_ = true;
   for (auto& item : tasks_) {
     if (item.state_ == TaskState::kPending) {
-      SetState(item, TaskState::kCancelled, now);
+      SetState(item, TaskState::kCancelled);
     } else {
       item.is_stopping_ = !IsFinal(item.state_);
     }
@@ -411,7 +409,7 @@
   UpdateState(now);
 }
 
-auto Job::Update(const JobSpec& spec, Millis now) -> void {
+auto Job::Update(const JobSpec& spec) -> void {
   if (spec_.ToJson() == spec.ToJson()) {
     return;
   }
@@ -424,10 +422,10 @@
   for (std::size_t i = 0; i < tasks_.size(); ++i) {
     auto& item = tasks_[i];
     if (i < count && item.state_ == TaskState::kCancelled) {
-      SetState(item, TaskState::kPending, now);
+      SetState(item, TaskState::kPending);
     }
     if (i >= count && item.state_ == TaskState::kPending) {
-      SetState(item, TaskState::kCancelled, now);
+      SetState(item, TaskState::kCancelled);
     }
   }
 }
--- a/lentilscale/job.h
+++ b/lentilscale/job.h
@@ -88,8 +88,8 @@
   std::string executor_;
   std::string worker_;
   std::string version_;
-  // When the state last changed.
-  Millis since_ms_ = 0;
+  // Value of the job's change counter when the state last changed.
+  std::int64_t changed_at_ = 0;
   Millis not_before_ms_ = 0;
   bool is_stopping_ = false;
 };
@@ -122,27 +122,29 @@
 
   // Gives the task a new attempt for an offer.
   auto OnOffered(std::int64_t index, std::int64_t attempt,
-                 const std::string& executor, Millis now) -> void;
+                 const std::string& executor) -> void;
   // The offer was proved not to have been taken.
-  auto OnOfferRefused(std::int64_t index, std::int64_t attempt, Millis now)
-      -> void;
+  auto OnOfferRefused(std::int64_t index, std::int64_t attempt) -> void;
   // An executor told of a task. Returns true if the event needs no further
   // telling once the job is recorded (at once, if it is not dirty).
   auto OnEvent(const TaskEvent& event, Millis now) -> bool;
 
   // Brings the tasks into line with all executors' reports, which were asked
-  // for at `since`. Tasks that nobody knows are pending again.
+  // for when change_count() was `since`. Tasks that nobody knows are pending
+  // again; what changed later is left alone.
   struct Report {
     TaskEvent event_;
     bool is_started_ = false;
   };
-  auto Reconcile(const std::vector<Report>& reports, Millis since, Millis now)
-      -> void;
+  auto Reconcile(const std::vector<Report>& reports, std::int64_t since,
+                 Millis now) -> void;
+  // Grows with every change of a task's state.
+  auto change_count() const -> std::int64_t { return change_count_; }
 
   // Cancels what has not ended.
   auto Cancel(Millis now) -> void;
   // Takes the new state of a service from the configuration.
-  auto Update(const JobSpec& spec, Millis now) -> void;
+  auto Update(const JobSpec& spec) -> void;
   // Returns running tasks of a service that should be stopped now: surplus
   // ones and, as far as availability allows, ones of another version.
   auto TasksToStop() const -> std::vector<std::int64_t>;
@@ -167,7 +169,7 @@
   auto MarkDirty() -> void { is_dirty_ = true; }
 
  private:
-  auto SetState(JobTask& task, TaskState state, Millis now) -> void;
+  auto SetState(JobTask& task, TaskState state) -> void;
   auto OnTaskEnded(JobTask& task, const TaskEvent& event, Millis now) -> void;
   auto RestartAll(Millis now) -> void;
   auto UpdateState(Millis now) -> void;
@@ -180,6 +182,7 @@
   Millis created_ms_ = 0;
   Millis ended_ms_ = 0;
   std::int64_t restarts_ = 0;
+  std::int64_t change_count_ = 0;
   bool is_dirty_ = false;
 };
 
--- a/lentilscale/job_dispatch.cc
+++ b/lentilscale/job_dispatch.cc
@@ -130,7 +130,7 @@
   for (const auto index : indexes) {
     const auto attempt = NextAttempt(job.home());
     attempts.push_back(attempt);
-    job.OnOffered(index, attempt, member, WallMs());
+    job.OnOffered(index, attempt, member);
     Json::Value item;
     item["index"] = Json::Int64(index);
     item["attempt"] = Json::Int64(attempt);
@@ -170,7 +170,7 @@
   }
   for (std::size_t i = 0; i < indexes.size(); ++i) {
     if (!accepted.contains(indexes[i])) {
-      entry.job_.OnOfferRefused(indexes[i], attempts[i], WallMs());
+      entry.job_.OnOfferRefused(indexes[i], attempts[i]);
     }
   }
 }
--- a/lentilscale/job_keeper.cc
+++ b/lentilscale/job_keeper.cc
@@ -491,7 +491,9 @@
   sweep_ = Sweep{};
   sweep_.round_ = round;
   sweep_.is_running_ = true;
-  sweep_.since_wall_ms_ = WallMs();
+  for (auto& [id, entry] : jobs_) {
+    entry.sweep_since_ = entry.job_.change_count();
+  }
   sweep_.shard_changes_ = view_->shard_changes();
   sweep_.next_ms_ = now + kSweepRetryMs;
   Json::Value params;
@@ -561,8 +563,7 @@
     if (is_due && IsActiveHome(entry.job_.home())) {
       entry.needs_sweep_ = false;
       entry.wants_sweep_ = false;
-      entry.job_.Reconcile(sweep_.reports_[id], sweep_.since_wall_ms_,
-                           WallMs());
+      entry.job_.Reconcile(sweep_.reports_[id], entry.sweep_since_, WallMs());
     }
   }
 }
@@ -574,7 +575,7 @@
     const auto spec = JobSpec::FromDeployment(deployment);
     const auto it = jobs_.find(spec.id_);
     if (it != jobs_.end()) {
-      it->second.job_.Update(spec, WallMs());
+      it->second.job_.Update(spec);
       continue;
     }
     const auto home =
--- a/lentilscale/job_keeper.h
+++ b/lentilscale/job_keeper.h
@@ -93,6 +93,8 @@
     // Something may have been lost; a sweep will tell, and meanwhile the job
     // goes on.
     bool wants_sweep_ = false;
+    // The job's change counter when the sweep under way began.
+    std::int64_t sweep_since_ = 0;
     Gang gang_;
     std::vector<Done> waiting_;
   };
@@ -100,7 +102,6 @@
   struct Sweep {
     bool is_running_ = false;
     std::int64_t round_ = 0;
-    Millis since_wall_ms_ = 0;
     std::int64_t shard_changes_ = 0;
     std::size_t unanswered_ = 0;
     bool has_failed_ = false;
--- a/lentilscale/members.cc
+++ b/lentilscale/members.cc
@@ -115,6 +115,13 @@
   state.heartbeat_ms_ = now;
 }
 
+auto Members::OnHeard(const MemberDigest& digest) -> void {
+  const auto it = members_.find(digest.id_);
+  if (it != members_.end()) {
+    it->second.digest_ = digest;
+  }
+}
+
 auto Members::RestartMissingTimes(Millis now) -> void {
   for (auto& [id, state] : members_) {
     state.missing_since_ms_ = now;
--- a/lentilscale/members.h
+++ b/lentilscale/members.h
@@ -105,6 +105,10 @@
   // Takes the digest from an answered heartbeat that was sent at `sent`.
   auto OnHeartbeat(const MemberDigest& digest, Millis sent, Millis now) -> void;
 
+  // Takes the digest from a heartbeat that a member sent. It says nothing about
+  // whether the member can be reached.
+  auto OnHeard(const MemberDigest& digest) -> void;
+
   // Starts the missing times anew, after an outage of the store in which
   // leases may have lapsed although their holders live.
   auto RestartMissingTimes(Millis now) -> void;
--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -244,6 +244,7 @@
 auto Node::AddPeerHandlers() -> void {
   link_->AddMethod("heartbeat", [this](const Json::Value& params) {
     const auto digest = MemberDigest::FromJson(params);
+    members_.OnHeard(digest);
     const auto* sender = members_.Find(digest.id_);
     if (sender != nullptr && digest.ticket_ > configuration_.number_) {
       FetchConfiguration(sender->record_.address_);
@@ -362,6 +363,7 @@
     LogEvent(Event::kStoreBack, {});
   }
   store_answered_ms_ = now;
+  owner_->OnViewRead();
   authority_.OnConfigurationRead(sent, configuration_.number_);
   holdings_->OnViewRead();
 }
--- a/lentilscale/shard_owner.cc
+++ b/lentilscale/shard_owner.cc
@@ -74,6 +74,19 @@
   return out;
 }
 
+auto ShardOwner::OnViewRead() -> void {
+  std::vector<std::string> lost;
+  for (const auto& [shard, state] : owned_) {
+    const auto* record = view_->FindShard(shard);
+    if (record == nullptr || record->owner_ != options_.self_id_) {
+      lost.push_back(shard);
+    }
+  }
+  for (const auto& shard : lost) {
+    Lose(shard);
+  }
+}
+
 auto ShardOwner::Tick(Millis now) -> void {
   const auto elapsed = std::min<Millis>(now - last_tick_ms_, 1000);
   last_tick_ms_ = now;
@@ -326,7 +339,7 @@
                              PeerLink::Responder respond) -> void {
   const auto shard = RequireString(body, "shard");
   const auto snapshot = SnapshotFromJson(GetObject(body, "table"));
-  if (!HasRights() || claiming_.contains(shard)) {
+  if (!HasRights() || claiming_.contains(shard) || is_draining_) {
     throw Error(ErrorCode::kNoAuthority, "no right to take shards now");
   }
   ShardRecord record;
--- a/lentilscale/shard_owner.h
+++ b/lentilscale/shard_owner.h
@@ -67,6 +67,10 @@
   auto SetWorkers(const std::vector<WorkerInfo>& workers,
                   const Configuration& configuration) -> void;
 
+  // The store's view has been read: drops what has another owner. It must come
+  // before rights are confirmed by that reading.
+  auto OnViewRead() -> void;
+
   // Claims, hands over and drops what is due.
   auto Tick(Millis now) -> void;
 
--- a/lentilscale/worker_model.cc
+++ b/lentilscale/worker_model.cc
@@ -72,6 +72,7 @@
   SessionAnswer answer;
   answer.clock_ms_ = now;
   answer.sequence_ = ++sequence_;
+  answer.boot_ = boot_;
   for (const auto& [key, item] : running_) {
     answer.running_.push_back(
         {key, item.used_, is_opening ? item.request_.tag_ : Json::Value()});
@@ -212,6 +213,7 @@
   }
   running_.clear();
   ended_.clear();
+  ++boot_;
   ++changes_;
   session_until_ms_ = 0;
   epoch_ = 0;
--- a/lentilscale/worker_model.h
+++ b/lentilscale/worker_model.h
@@ -101,6 +101,7 @@
   std::int64_t epoch_ = 0;
   std::int64_t changes_ = 0;
   std::int64_t sequence_ = 0;
+  std::int64_t boot_ = WallMs();
   std::string owner_;
   Millis session_until_ms_ = 0;
   bool is_failing_ = false;
--- a/lentilscale/worker_protocol.cc
+++ b/lentilscale/worker_protocol.cc
@@ -113,6 +113,7 @@
   SessionAnswer out;
   out.clock_ms_ = RequireInt(object, "clock", 1, kMaxMillis);
   out.sequence_ = RequireInt(object, "seq", 0, INT64_MAX);
+  out.boot_ = RequireInt(object, "boot", 0, INT64_MAX);
   for (const auto& item : GetArray(object, "running")) {
     RunningTask task;
     task.key_ = RequireString(item, "key");
@@ -139,6 +140,7 @@
   Json::Value out;
   out["clock"] = Json::Int64(clock_ms_);
   out["seq"] = Json::Int64(sequence_);
+  out["boot"] = Json::Int64(boot_);
   for (const auto& task : running_) {
     Json::Value item;
     item["key"] = task.key_;
--- a/lentilscale/worker_protocol.h
+++ b/lentilscale/worker_protocol.h
@@ -122,6 +122,9 @@
   Millis clock_ms_ = 0;
   // Grows with each answer, so that one that was overtaken is recognized.
   std::int64_t sequence_ = 0;
+  // Differs after each restart of the worker. A worker that restarted knows
+  // nothing of what ran before, so "never started" proves nothing about it.
+  std::int64_t boot_ = 0;
   std::vector<RunningTask> running_;
   std::vector<EndedTask> ended_;
 };
--- a/lentilscale/worker_session.cc
+++ b/lentilscale/worker_session.cc
@@ -89,6 +89,7 @@
   phase_ = Phase::kReady;
   is_lost_taken_ = false;
   sequence_ = answer.sequence_;
+  boot_ = answer.boot_;
   echo_ms_ = answer.clock_ms_;
   last_answer_ms_ = now;
   next_ms_ = now;
--- a/lentilscale/worker_session.h
+++ b/lentilscale/worker_session.h
@@ -85,6 +85,8 @@
   auto phase() const -> Phase { return phase_; }
   auto last_answer_ms() const -> Millis { return last_answer_ms_; }
   auto failures() const -> int { return failures_; }
+  // Identifies the run of the worker that answered last.
+  auto boot() const -> std::int64_t { return boot_; }
   auto SetLeaving(bool is_leaving) -> void { info_.is_leaving_ = is_leaving; }
 
  private:
@@ -102,6 +104,7 @@
   bool is_interrupting_ = false;
   Millis next_ms_ = 0;
   std::int64_t sequence_ = 0;
+  std::int64_t boot_ = 0;
   Millis echo_ms_ = 0;
   Millis last_answer_ms_ = 0;
   int failures_ = 0;
