Judge repeated tasks by acknowledgement

Change: the workers' record has acknowledgements; a second start is a breach if the first success was acknowledged, or comes before the session can have lapsed. Stricter than before for acknowledged successes, which are now compared with every start.

--- a/lentilscale/worker_model.cc
+++ b/lentilscale/worker_model.cc
@@ -47,7 +47,9 @@
   session_until_ms_ =
       std::max(is_opening ? 0 : session_until_ms_, from + request.session_ms_);
   for (const auto& key : request.acknowledged_) {
-    ended_.erase(key);
+    if (ended_.erase(key) > 0) {
+      Record("ack", key, {}, "");
+    }
   }
   for (const auto& key : request.stopped_) {
     if (running_.contains(key)) {
