--- a/lentilscale/holding_desk.cc
+++ b/lentilscale/holding_desk.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr Millis kLowerPeriodMs = 200;
+// A shard with a record never has this revision.
+constexpr std::int64_t kNoRevision = 0;
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
 
 auto HeldKey(const std::string& team, const std::string& service,
@@ -95,12 +97,7 @@
   StoreTxn txn;
   txn.IfModRevision(key, plan.base_revision_);
   for (const auto& source : plan.lowered_) {
-    const auto* record = view_->FindShard(source.shard_);
-    const auto is_own =
-        record != nullptr && record->owner_ == options_.self_id_;
-    // The comparison with 0 fails, as it should for a shard that is lost.
-    txn.IfModRevision(ShardKey(source.shard_),
-                      is_own ? record->mod_revision_ : 0);
+    txn.IfModRevision(ShardKey(source.shard_), source.shard_revision_);
   }
   txn.Put(key, DumpJson(plan.record_.ToJson())).ElseGet(key);
   store_->Commit(txn, [this, plan](const StoreResult& result) {
@@ -152,6 +149,14 @@
   }
 }
 
+// Returns the revision under which this instance owns the shard, or one that
+// no comparison meets.
+auto HoldingDesk::OwnRevision(const std::string& shard) const -> std::int64_t {
+  const auto* record = view_->FindShard(shard);
+  const auto is_own = record != nullptr && record->owner_ == options_.self_id_;
+  return is_own ? record->mod_revision_ : kNoRevision;
+}
+
 auto HoldingDesk::FreeSources(const std::string& team) const
     -> std::vector<HoldingSource> {
   std::vector<HoldingSource> out;
@@ -167,7 +172,7 @@
         unread_.contains(shard) ? 0 : holdings_.Usable(team, shard);
     const auto free = usable - running;
     if (free > 0) {
-      out.push_back({shard, free});
+      out.push_back({shard, free, OwnRevision(shard)});
     }
   }
   return out;
@@ -289,7 +294,10 @@
 }
 
 auto HoldingDesk::LowerToLimits() -> void {
-  const auto owned = owner_->owned();
+  std::vector<HoldingSource> owned;
+  for (const auto& shard : owner_->owned()) {
+    owned.push_back({shard, 0, OwnRevision(shard)});
+  }
   for (const auto& [name, team] : configuration_.teams_) {
     const auto plan = holdings_.PlanLower(name, team.limit_, owned);
     if (plan) {
--- a/lentilscale/holding_desk.h
+++ b/lentilscale/holding_desk.h
@@ -71,6 +71,7 @@
   auto Commit(const HoldingPlan& plan) -> void;
   auto OnCommitted(const HoldingPlan& plan, const StoreResult& result) -> void;
   auto TellTaker(const HoldingPlan& plan, std::int64_t mod_revision) -> void;
+  auto OwnRevision(const std::string& shard) const -> std::int64_t;
   auto FreeSources(const std::string& team) const -> std::vector<HoldingSource>;
   auto OldestWaiting(const std::string& team) const -> Millis;
   auto ServeDemand(const LimitDemand& demand, Millis now) -> void;
--- a/lentilscale/holdings.cc
+++ b/lentilscale/holdings.cc
@@ -112,7 +112,7 @@
     }
     plan.record_.by_shard_[source.shard_] -= part;
     plan.record_.by_shard_[to] += part;
-    plan.lowered_.push_back({source.shard_, part});
+    plan.lowered_.push_back({source.shard_, part, source.shard_revision_});
     left -= part;
   }
   return plan.lowered_.empty() ? std::nullopt : Open(std::move(plan));
@@ -135,7 +135,7 @@
 }
 
 auto Holdings::PlanLower(const std::string& team, std::int64_t limit,
-                         const std::vector<std::string>& owned)
+                         const std::vector<HoldingSource>& owned)
     -> std::optional<HoldingPlan> {
   const auto* record = Find(team);
   if (record == nullptr || HasPlan(team)) {
@@ -151,7 +151,8 @@
   // so that the excess shrinks with every round and ends at zero because the
   // part is rounded down and at least one is taken.
   HoldingPlan plan{team, RevisionOf(team), *record, {}};
-  for (const auto& shard : owned) {
+  for (const auto& source : owned) {
+    const auto& shard = source.shard_;
     const auto held = record->Of(shard);
     const auto part =
         std::min(held, std::max<std::int64_t>(held - held * limit / sum, 1));
@@ -159,7 +160,7 @@
     const auto taken = std::min(part, excess);
     if (taken > 0) {
       plan.record_.by_shard_[shard] -= taken;
-      plan.lowered_.push_back({shard, taken});
+      plan.lowered_.push_back({shard, taken, source.shard_revision_});
     }
   }
   return plan.lowered_.empty() ? std::nullopt : Open(std::move(plan));
--- a/lentilscale/holdings.h
+++ b/lentilscale/holdings.h
@@ -49,6 +49,10 @@
 struct HoldingSource {
   std::string shard_;
   std::int64_t amount_ = 0;
+  // Revision of the shard's record under which the giver owns it. The plan's
+  // transaction requires it, also when it is repeated: the giver may lose and
+  // regain the shard in between, with more running on it than when it planned.
+  std::int64_t shard_revision_ = 0;
 };
 
 // A change of one record that waits for the store.
@@ -93,9 +97,10 @@
       -> std::optional<HoldingPlan>;
 
   // Plans to lower this instance's `owned` shards to their part of a lowered
-  // limit, in proportion to what they hold.
+  // limit, in proportion to what they hold; the amounts of `owned` are not
+  // used.
   auto PlanLower(const std::string& team, std::int64_t limit,
-                 const std::vector<std::string>& owned)
+                 const std::vector<HoldingSource>& owned)
       -> std::optional<HoldingPlan>;
 
   // The store answered a plan; `record` is the record after it, whether the
