Let every team's batch work be seen by the executors' schedulers

A keeper filled an executor's backlog with whichever job came first by name, so the scheduler had one team to choose from. Ruled out: the ordering itself (the unit test divides 24 to 8 at shares 3 to 1). Change: the backlog is per team, jobs of a team go by age.

--- a/lentilscale/job.h
+++ b/lentilscale/job.h
@@ -163,6 +163,7 @@
     return tasks_.at(static_cast<std::size_t>(index));
   }
   auto reason() const -> const std::string& { return reason_; }
+  auto created_ms() const -> Millis { return created_ms_; }
   auto ended_ms() const -> Millis { return ended_ms_; }
   auto is_dirty() const -> bool { return is_dirty_; }
   auto ClearDirty() -> void { is_dirty_ = false; }
--- a/lentilscale/job_dispatch.cc
+++ b/lentilscale/job_dispatch.cc
@@ -26,27 +26,61 @@
 constexpr Millis kGangBackoffMs = 300;
 constexpr std::int64_t kMaxBackoffRounds = 6;
 
+auto OutstandingKey(const std::string& member, const JobSpec& spec)
+    -> std::string {
+  return member + "|" + spec.service_ + "|" + spec.team_;
+}
+
 }  // namespace
 
-auto JobKeeper::AllowanceOf(const std::string& member,
-                            const std::string& service) -> std::int64_t {
+// The backlog is each team's own: what one team has queued must not keep the
+// executor's scheduler from seeing the others' work, or shares could not hold.
+auto JobKeeper::AllowanceOf(const std::string& member, const JobSpec& spec)
+    -> std::int64_t {
   const auto* state = members_->Find(member);
   if (state == nullptr || !members_->IsReachable(member, MonotonicMs())) {
     return 0;
   }
   for (const auto& load : state->digest_.loads_) {
-    if (load.service_ == service && load.slots_ > 0) {
+    if (load.service_ == spec.service_ && load.slots_ > 0) {
       const auto backlog =
           std::max(load.slots_ / kBacklogDivisor, kLeastBacklog);
-      const auto room = load.free_slots_ + backlog - load.queued_;
-      return room - outstanding_[member + "|" + service];
+      return load.free_slots_ + backlog -
+             outstanding_[OutstandingKey(member, spec)];
     }
   }
   return 0;
 }
 
-auto JobKeeper::ExecutorsFor(const std::string& service)
-    -> std::vector<std::string> {
+auto JobKeeper::CountOutstanding() -> void {
+  outstanding_.clear();
+  for (const auto& [id, entry] : jobs_) {
+    for (const auto& task : entry.job_.tasks()) {
+      if (task.state_ == TaskState::kOffered) {
+        ++outstanding_[OutstandingKey(task.executor_, entry.job_.spec())];
+      }
+    }
+  }
+}
+
+// Oldest first, so that the jobs of a team are served in the order in which
+// they came.
+auto JobKeeper::JobsByAge() const -> std::vector<std::string> {
+  std::vector<std::pair<Millis, std::string>> ages;
+  ages.reserve(jobs_.size());
+  for (const auto& [id, entry] : jobs_) {
+    ages.emplace_back(entry.job_.created_ms(), id);
+  }
+  std::sort(ages.begin(), ages.end());
+  std::vector<std::string> out;
+  out.reserve(ages.size());
+  for (auto& age : ages) {
+    out.push_back(std::move(age.second));
+  }
+  return out;
+}
+
+auto JobKeeper::ExecutorsFor(const JobSpec& spec) -> std::vector<std::string> {
   struct Scored {
     std::string id_;
     std::int64_t allowance_;
@@ -54,7 +88,7 @@
   std::vector<Scored> scored;
   for (const auto* state : members_->Listed()) {
     const auto& id = state->record_.id_;
-    const auto allowance = AllowanceOf(id, service);
+    const auto allowance = AllowanceOf(id, spec);
     if (allowance > 0 && !state->digest_.is_draining_) {
       scored.push_back({id, allowance});
     }
@@ -75,8 +109,8 @@
   if (pending.empty()) {
     return;
   }
-  const auto& service = entry.job_.spec().service_;
-  const auto executors = ExecutorsFor(service);
+  const auto& spec = entry.job_.spec();
+  const auto executors = ExecutorsFor(spec);
   if (executors.empty()) {
     return;
   }
@@ -91,7 +125,7 @@
     std::string best;
     std::int64_t best_score = 0;
     for (const auto& member : executors) {
-      const auto allowance = AllowanceOf(member, service);
+      const auto allowance = AllowanceOf(member, spec);
       if (allowance <= 0) {
         continue;
       }
@@ -109,7 +143,7 @@
       break;
     }
     by_member[best].push_back(index);
-    ++outstanding_[best + "|" + service];
+    ++outstanding_[OutstandingKey(best, spec)];
     ++running[best];
   }
   for (const auto& [member, indexes] : by_member) {
--- a/lentilscale/job_keeper.cc
+++ b/lentilscale/job_keeper.cc
@@ -609,19 +609,8 @@
   }
   TickDeployments();
   TickSweep(now);
-  outstanding_.clear();
-  for (const auto& [id, entry] : jobs_) {
-    for (const auto& task : entry.job_.tasks()) {
-      if (task.state_ == TaskState::kOffered) {
-        ++outstanding_[task.executor_ + "|" + entry.job_.spec().service_];
-      }
-    }
-  }
-  std::vector<std::string> ids;
-  for (const auto& [id, entry] : jobs_) {
-    ids.push_back(id);
-  }
-  for (const auto& id : ids) {
+  CountOutstanding();
+  for (const auto& id : JobsByAge()) {
     auto& entry = jobs_.at(id);
     if (!IsActiveHome(entry.job_.home())) {
       continue;
--- a/lentilscale/job_keeper.h
+++ b/lentilscale/job_keeper.h
@@ -141,9 +141,11 @@
                        const PeerAnswer& answer) -> void;
   auto StopTasks(Entry& entry) -> void;
   auto NextAttempt(const std::string& home) -> std::int64_t;
-  auto ExecutorsFor(const std::string& service) -> std::vector<std::string>;
-  auto AllowanceOf(const std::string& member, const std::string& service)
+  auto ExecutorsFor(const JobSpec& spec) -> std::vector<std::string>;
+  auto AllowanceOf(const std::string& member, const JobSpec& spec)
       -> std::int64_t;
+  auto CountOutstanding() -> void;
+  auto JobsByAge() const -> std::vector<std::string>;
 
   auto TickGang(Entry& entry, Millis now) -> void;
   auto AskNextHold(const std::string& id) -> void;
@@ -174,7 +176,7 @@
   std::map<std::string, std::int64_t, std::less<>> slots_;
   std::map<std::string, Home, std::less<>> homes_;
   std::map<std::string, Entry, std::less<>> jobs_;
-  // Tasks offered and not started, by executor and service.
+  // Tasks offered and not started, by executor, service and team.
   std::map<std::string, std::int64_t, std::less<>> outstanding_;
   Sweep sweep_;
   std::int64_t swept_changes_ = 0;
--- a/lentilscale/load_run.cc
+++ b/lentilscale/load_run.cc
@@ -363,7 +363,9 @@
           sample.at_s_ = Now() / 1000;
           sample.used_slots_ = GetInt(body, "used_slots", 0, 0, INT64_MAX);
           sample.slots_ = GetInt(body, "slots", 0, 0, INT64_MAX);
-          sample.queued_ = open_ - sample.used_slots_;
+          for (const auto& [entry, queued] : queued_) {
+            sample.queued_ += queued;
+          }
           const auto teams = GetObject(body, "teams");
           for (const auto& name : teams.getMemberNames()) {
             sample.team_share_[name] = teams[name].asDouble();
@@ -386,6 +388,10 @@
                    }
                    try {
                      const auto body = ParseJson(http.body_);
+                     queued_[entry] = 0;
+                     for (const auto& service : body["services"]) {
+                       queued_[entry] += service["queued"].asInt64();
+                     }
                      Json::Value event;
                      event["event"] = "ticket";
                      event["instance"] = body["id"];
--- a/lentilscale/load_run.h
+++ b/lentilscale/load_run.h
@@ -136,6 +136,8 @@
   std::string run_id_;
   std::int64_t next_id_ = 0;
   std::int64_t open_ = 0;
+  // Waiting work by entry, as its latest status has it.
+  std::map<std::string, std::int64_t, std::less<>> queued_;
   bool is_over_ = false;
   Millis finish_by_ms_ = 0;
 };
--- a/lentilscale/metrics.cc
+++ b/lentilscale/metrics.cc
@@ -27,6 +27,7 @@
     "worker_bytes_out",  "worker_bytes_in",    "store_reads",
     "store_writes",      "store_lease_calls",  "store_relayed",
     "shards_taken_over", "shards_handed_over", "cross_region_bytes",
+    "client_bytes_out",  "client_bytes_in",
 });
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(Counter::kCount));
--- a/lentilscale/metrics.h
+++ b/lentilscale/metrics.h
@@ -49,6 +49,9 @@
   kShardsTakenOver,
   kShardsHandedOver,
   kCrossRegionBytes,
+  // All that the HTTP client sent and received: headers of requests and bodies.
+  kClientBytesOut,
+  kClientBytesIn,
   kCount,
 };
 
--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -545,6 +545,10 @@
                now - authority_.ConfigurationConfirmedAt());
   metrics_.Set(Gauge::kRequestsRemembered,
                static_cast<std::int64_t>(homes_.size()));
+  metrics_.Set(Counter::kClientBytesOut,
+               static_cast<std::int64_t>(client_.bytes_out()));
+  metrics_.Set(Counter::kClientBytesIn,
+               static_cast<std::int64_t>(client_.bytes_in()));
   metrics_.Set(Counter::kStoreReads, store_->counts().reads_);
   metrics_.Set(Counter::kStoreWrites, store_->counts().writes_);
   metrics_.Set(Counter::kStoreLeaseCalls, store_->counts().lease_calls_);
--- a/testing/executor_test.cc
+++ b/testing/executor_test.cc
@@ -23,18 +23,15 @@
 }
 
 struct Fixture {
-  Fixture()
-      : loop_(MakeLoop()), client_(loop_, {}), workers_(loop_, nullptr) {
+  Fixture() : loop_(MakeLoop()), client_(loop_, {}), workers_(loop_, nullptr) {
     Executor::Options options;
     options.session_.owner_ = "o";
-    Executor::Hooks hooks{[] { return MonotonicMs() + 1000; },
-                          [](const std::string&) {},
-                          [this](const TaskEvent& event) {
-                            events_.push_back(event);
-                          },
-                          [this](const std::string&) { ++opened_; }};
-    executor_ = std::make_unique<Executor>(loop_, &client_,
-                                           &metrics_, options, hooks);
+    Executor::Hooks hooks{
+        [] { return MonotonicMs() + 1000; }, [](const std::string&) {},
+        [this](const TaskEvent& event) { events_.push_back(event); },
+        [this](const std::string&) { ++opened_; }};
+    executor_ =
+        std::make_unique<Executor>(loop_, &client_, &metrics_, options, hooks);
     Configuration configuration;
     configuration.services_["s"] = {"s", 1, {}};
     configuration.teams_["t"] = {"t", 1, 8, {}};
@@ -53,8 +50,7 @@
   // Runs the loop until `is_done`, or fails after a generous time.
   auto Await(const std::function<bool()>& is_done) -> void {
     const auto end = MonotonicMs() + kPatienceMs;
-    RepeatingTimer tick(loop_, 5,
-                        [this] { executor_->Tick(MonotonicMs()); });
+    RepeatingTimer tick(loop_, 5, [this] { executor_->Tick(MonotonicMs()); });
     while (!is_done() && MonotonicMs() < end) {
       uv_run(loop_, UV_RUN_ONCE);
     }
@@ -71,7 +67,12 @@
   auto Call(const std::string& key, Millis run_ms) -> void {
     Work work;
     work.service_ = "s";
-    work.item_ = {key, Lane::kCall, "t", {1, 100, 100, 0}, "g", MonotonicMs(),
+    work.item_ = {key,
+                  Lane::kCall,
+                  "t",
+                  {1, 100, 100, 0},
+                  "g",
+                  MonotonicMs(),
                   MonotonicMs() + kPatienceMs};
     work.payload_["run_ms"] = Json::Int64(run_ms);
     work.kind_ = CallWork{false, [this](const CallOutcome& outcome) {
--- a/testing/fuzz_test.cc
+++ b/testing/fuzz_test.cc
@@ -36,42 +36,65 @@
 
 template <typename Message>
 auto Reads(const std::string& name, const std::string& valid) -> Target {
-  return {name, valid, [](const std::string& text) {
-            Message::FromJson(ParseJson(text));
-          }};
+  return {name, valid,
+          [](const std::string& text) { Message::FromJson(ParseJson(text)); }};
 }
 
 auto Targets() -> std::vector<Target> {
   KvServer kv;
   return {
-      Reads<Ticket>("ticket",
-                    R"({"number":1,"author":"a","teams":{"t":{"share":1,"limit":5,"keys":[{"name":"k","sha256":"00"}]}}})"),
-      Reads<Configuration>("configuration",
-                           R"({"number":1,"teams":{"t":{"share":1,"limit":5}},"services":{"s":{}}})"),
-      Reads<MemberRecord>("member", R"({"id":"a","address":"b","data_centre":"c","region":"d"})"),
-      Reads<MemberDigest>("digest", R"({"id":"a","ticket":3,"store":true,"age_ms":5,"loads":[{"s":"x","f":1,"q":2,"c":3}]})"),
-      Reads<SessionAnswer>("session answer",
-                           R"({"clock":5,"seq":1,"boot":1,"running":[{"key":"k","cpu":1,"mem":2,"tag":{}}],"ended":[{"key":"e","status":"ok","progress":1}]})"),
-      Reads<SessionRequest>("session request", R"({"owner":"o","epoch":1,"session_ms":10,"ack":["a"],"stop":["b"]})"),
-      Reads<StartRequest>("start", R"({"key":"k","epoch":1,"need":{"slots":1},"tag":{},"work":{}})"),
-      Reads<JobSpec>("job", R"({"job_id":"j","service":"s","kind":"batch","count":3,"need":{"slots":1}})"),
-      Reads<TaskEvent>("event", R"({"ref":{"job":"j","index":0,"attempt":1,"home":"h","epoch":1},"kind":"ended","status":"ok"})"),
+      Reads<Ticket>(
+          "ticket",
+          R"({"number":1,"author":"a","teams":{"t":{"share":1,"limit":5,"keys":[{"name":"k","sha256":"00"}]}}})"),
+      Reads<Configuration>(
+          "configuration",
+          R"({"number":1,"teams":{"t":{"share":1,"limit":5}},"services":{"s":{}}})"),
+      Reads<MemberRecord>(
+          "member",
+          R"({"id":"a","address":"b","data_centre":"c","region":"d"})"),
+      Reads<MemberDigest>(
+          "digest",
+          R"({"id":"a","ticket":3,"store":true,"age_ms":5,"loads":[{"s":"x","f":1,"q":2,"c":3}]})"),
+      Reads<SessionAnswer>(
+          "session answer",
+          R"({"clock":5,"seq":1,"boot":1,"running":[{"key":"k","cpu":1,"mem":2,"tag":{}}],"ended":[{"key":"e","status":"ok","progress":1}]})"),
+      Reads<SessionRequest>(
+          "session request",
+          R"({"owner":"o","epoch":1,"session_ms":10,"ack":["a"],"stop":["b"]})"),
+      Reads<StartRequest>(
+          "start",
+          R"({"key":"k","epoch":1,"need":{"slots":1},"tag":{},"work":{}})"),
+      Reads<JobSpec>(
+          "job",
+          R"({"job_id":"j","service":"s","kind":"batch","count":3,"need":{"slots":1}})"),
+      Reads<TaskEvent>(
+          "event",
+          R"({"ref":{"job":"j","index":0,"attempt":1,"home":"h","epoch":1},"kind":"ended","status":"ok"})"),
       Reads<KeeperClaim>("claim", R"({"home":"h","epoch":1,"valid_until":5})"),
       Reads<HoldingRecord>("holding", R"({"limit":5,"shards":{"s/a/0":3}})"),
-      Reads<WorkerInfo>("worker", R"({"id":"w","address":"a","service":"s","data_centre":"d","region":"r","rack":"k","capacity":{"slots":8}})"),
-      {"job record", R"({"spec":{"job_id":"j","service":"s"},"home":"h","tasks":"..d","state":"active"})",
+      Reads<WorkerInfo>(
+          "worker",
+          R"({"id":"w","address":"a","service":"s","data_centre":"d","region":"r","rack":"k","capacity":{"slots":8}})"),
+      {"job record",
+       R"({"spec":{"job_id":"j","service":"s"},"home":"h","tasks":"..d","state":"active"})",
        [](const std::string& text) { Job::FromRecord(ParseJson(text)); }},
       {"shard record", R"({"owner":"o","address":"a","epoch":1,"horizon":5})",
-       [](const std::string& text) { ShardRecord::FromJson("s", ParseJson(text)); }},
-      {"call", R"({"team":"t","service":"s","left_ms":50,"need":{"slots":1},"payload":{}})",
+       [](const std::string& text) {
+         ShardRecord::FromJson("s", ParseJson(text));
+       }},
+      {"call",
+       R"({"team":"t","service":"s","left_ms":50,"need":{"slots":1},"payload":{}})",
        [](const std::string& text) { Call::FromJson(ParseJson(text), 0); }},
-      {"table", R"({"horizon":5,"entries":[{"team":"t","id":"i","issued":3,"ended":true,"status":200,"body":"b"}]})",
+      {"table",
+       R"({"horizon":5,"entries":[{"team":"t","id":"i","issued":3,"ended":true,"status":200,"body":"b"}]})",
        [](const std::string& text) { SnapshotFromJson(ParseJson(text)); }},
-      {"store call", R"({"compare":[{"key":"YQ==","target":"MOD","result":"EQUAL","mod_revision":"0"}],"success":[{"request_put":{"key":"YQ==","value":"Yg=="}}]})",
+      {"store call",
+       R"({"compare":[{"key":"YQ==","target":"MOD","result":"EQUAL","mod_revision":"0"}],"success":[{"request_put":{"key":"YQ==","value":"Yg=="}}]})",
        [kv](const std::string& text) mutable {
          kv.Handle("/v3/kv/txn", ParseJson(text), 0);
        }},
-      {"rpc request", R"({"jsonrpc":"2.0","id":1,"method":"m","params":{"a":1}})",
+      {"rpc request",
+       R"({"jsonrpc":"2.0","id":1,"method":"m","params":{"a":1}})",
        [](const std::string& text) {
          RpcServer server;
          server.AddMethod("m", [](const Json::Value& p) { return p; });
@@ -87,15 +110,17 @@
       {"ticket file", "[ticket]\nnumber = 1\n[team a]\nshare = 1\n",
        [](const std::string& text) { TicketFromIni(text, "f").ok(); }},
       {"experiment", "[run]\nseconds = 1\n[team a]\nrun_ms = 2\n",
-       [](const std::string& text) { LoadExperiment::FromText(text, "f").ok(); }},
+       [](const std::string& text) {
+         LoadExperiment::FromText(text, "f").ok();
+       }},
   };
 }
 
 auto Mutate(std::string text, std::mt19937_64& random) -> std::string {
-  static const std::string kPieces[] = {"{",   "}",    "[",     "\"",   "null",
-                                        "-1",  "1e99", "99999999999999999999",
-                                        "\\u", "\xff", "true",  ":",    ",",
-                                        "{}",  "[]",   "\"\"",  "0.5",  "="};
+  static const std::string kPieces[] = {
+      "{",   "}",    "[",    "\"", "null", "-1", "1e99", "99999999999999999999",
+      "\\u", "\xff", "true", ":",  ",",    "{}", "[]",   "\"\"",
+      "0.5", "="};
   const auto changes = 1 + random() % 3;
   for (std::uint64_t i = 0; i < changes && !text.empty(); ++i) {
     const auto at = random() % text.size();
