--- a/lentilscale/settings.h
+++ b/lentilscale/settings.h
@@ -50,13 +50,13 @@
   Millis store_poll_ms_ = 300;
 
   std::string platform_address_ = "127.0.0.1:2379";
-  Millis platform_poll_ms_ = 500;
+  Millis platform_poll_ms_ = 1000;
 
   std::string peer_key_;
   std::string operator_key_sha256_;
 
   std::int64_t member_lease_s_ = 2;
-  Millis heartbeat_ms_ = 400;
+  Millis heartbeat_ms_ = 500;
   Millis suspect_ms_ = 1200;
   Millis key_stale_ms_ = 2000;
 
--- a/lentilscale/store_view.cc
+++ b/lentilscale/store_view.cc
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr std::string_view kMemberPrefix = "members/";
-constexpr std::string_view kShardPrefix = "shards/";
-constexpr std::string_view kHoldingPrefix = "holdings/";
+constexpr std::string_view kStatePrefix = "state/";
+constexpr std::string_view kShardPrefix = "state/shards/";
+constexpr std::string_view kHoldingPrefix = "state/holdings/";
 
 }  // namespace
 
@@ -65,9 +66,7 @@
   StoreTxn txn;
   const auto since = revision_ + 1;
   txn.GetPrefix(std::string(kMemberPrefix), 0)
-      .GetPrefix(std::string(kShardPrefix), since)
-      .GetPrefix(std::string(kHoldingPrefix), since)
-      .GetPrefix(kTicketHeadKey, since);
+      .GetPrefix(std::string(kStatePrefix), since);
   store_->Commit(txn, [this, sent](const StoreResult& result) {
     is_reading_ = false;
     if (result.outcome_ == StoreOutcome::kAnswered) {
--- a/lentilscale/store_view.h
+++ b/lentilscale/store_view.h
@@ -47,7 +47,9 @@
 auto HoldingKey(const std::string& team) -> std::string;
 auto JobKey(const std::string& job) -> std::string;
 auto TicketLogKey(std::int64_t number) -> std::string;
-constexpr auto kTicketHeadKey = "tickets/head";
+// Everything that every instance reads is under one prefix, so that one range
+// brings all that changed.
+constexpr auto kTicketHeadKey = "state/head";
 constexpr auto kTicketLogPrefix = "tickets/log/";
 constexpr auto kJobPrefix = "jobs/";
 
--- a/testing/hop_benchmark.cc
+++ b/testing/hop_benchmark.cc
@@ -3,7 +3,8 @@
 //   hop_benchmark ENTRY WORKER KEY SERVICE CALLS
 //
 // The two alternate in one run, one at a time. The bare exchange is a call that
-// the worker refuses at once; calls through the entry instance take no run time.
+// the worker refuses at once; calls through the entry instance take no run
+// time.
 
 #include <fmt/format.h>
 
@@ -23,7 +24,8 @@
   const std::chrono::duration<double, std::micro> spent =
       std::chrono::steady_clock::now() - start;
   if (result.status_ != expected) {
-    fmt::print(stderr, "unexpected answer {}: {}\n", result.status_, result.body_);
+    fmt::print(stderr, "unexpected answer {}: {}\n", result.status_,
+               result.body_);
     std::exit(1);
   }
   return spent.count();
@@ -38,12 +40,19 @@
   }
   using lentilscale::HttpCall;
   using lentilscale::QuantileOf;
-  const HttpCall through{argv[1], "POST",
+  const HttpCall through{argv[1],
+                         "POST",
                          "/v1/services/" + std::string(argv[4]) + "/calls",
-                         R"({"work":{"run_ms":0}})", argv[3], 5000};
-  const HttpCall bare{argv[2], "POST", "/v1/call",
-                      R"({"key":"bare","epoch":999,"need":{"slots":1},"tag":{},"work":{}})",
-                      "", 5000};
+                         R"({"work":{"run_ms":0}})",
+                         argv[3],
+                         5000};
+  const HttpCall bare{
+      argv[2],
+      "POST",
+      "/v1/call",
+      R"({"key":"bare","epoch":999,"need":{"slots":1},"tag":{},"work":{}})",
+      "",
+      5000};
   lentilscale::SyncClient client;
   std::vector<double> through_us;
   std::vector<double> bare_us;
@@ -53,12 +62,13 @@
     through_us.push_back(lentilscale::TimedUs(client, through, kOk));
     bare_us.push_back(lentilscale::TimedUs(client, bare, kConflict));
   }
-  fmt::print("{{\"through_us\":{{\"p50\":{:.0f},\"p99\":{:.0f}}},"
-             "\"bare_us\":{{\"p50\":{:.0f},\"p99\":{:.0f}}},"
-             "\"ratio\":{{\"p50\":{:.2f},\"p99\":{:.2f}}}}}\n",
-             QuantileOf(through_us, 0.5), QuantileOf(through_us, 0.99),
-             QuantileOf(bare_us, 0.5), QuantileOf(bare_us, 0.99),
-             QuantileOf(through_us, 0.5) / QuantileOf(bare_us, 0.5),
-             QuantileOf(through_us, 0.99) / QuantileOf(bare_us, 0.99));
+  fmt::print(
+      "{{\"through_us\":{{\"p50\":{:.0f},\"p99\":{:.0f}}},"
+      "\"bare_us\":{{\"p50\":{:.0f},\"p99\":{:.0f}}},"
+      "\"ratio\":{{\"p50\":{:.2f},\"p99\":{:.2f}}}}}\n",
+      QuantileOf(through_us, 0.5), QuantileOf(through_us, 0.99),
+      QuantileOf(bare_us, 0.5), QuantileOf(bare_us, 0.99),
+      QuantileOf(through_us, 0.5) / QuantileOf(bare_us, 0.5),
+      QuantileOf(through_us, 0.99) / QuantileOf(bare_us, 0.99));
   return 0;
 }
--- a/testing/judge.cc
+++ b/testing/judge.cc
@@ -87,7 +87,7 @@
   auto ReadTickets() -> void {
     for (const auto& event : platform_) {
       for (const auto& put : event["puts"]) {
-        if (put["key"].asString() != "/lentilscale/tickets/head") {
+        if (put["key"].asString() != "/lentilscale/state/head") {
           continue;
         }
         const auto head = ParseJson(put["value"].asString())["configuration"];
@@ -364,7 +364,7 @@
     const auto last_seen = key_seen_.at(hash);
     for (const auto& event : platform_) {
       for (const auto& put : event["puts"]) {
-        if (put["key"].asString() == "/lentilscale/tickets/head" &&
+        if (put["key"].asString() == "/lentilscale/state/head" &&
             event["t_ms"].asInt64() > last_seen) {
           return event["t_ms"].asInt64();
         }
--- a/testing/scheduler_benchmark.cc
+++ b/testing/scheduler_benchmark.cc
@@ -32,15 +32,18 @@
   }
   for (auto t = 0; t < teams; ++t) {
     for (auto s = 0; s < shards; ++s) {
-      scheduler.SetUsable(fmt::format("t{}", t), fmt::format("s/a/{}", s), 1000);
+      scheduler.SetUsable(fmt::format("t{}", t), fmt::format("s/a/{}", s),
+                          1000);
     }
   }
   auto next = 0;
   std::vector<std::string> keys;
   const auto enqueue = [&](Millis now) {
-    const auto team = fmt::format("t{}", random() % static_cast<unsigned>(teams));
+    const auto team =
+        fmt::format("t{}", random() % static_cast<unsigned>(teams));
     const auto lane = static_cast<Lane>(random() % kLaneCount);
-    scheduler.Enqueue({fmt::format("k{}", next++), lane, team, kNeed, team, now, 0});
+    scheduler.Enqueue(
+        {fmt::format("k{}", next++), lane, team, kNeed, team, now, 0});
   };
   for (auto i = 0; i < running; ++i) {
     enqueue(0);
@@ -71,10 +74,11 @@
       keys.push_back(placement.item_.key_);
     }
   }
-  fmt::print("{{\"workers\":{},\"teams\":{},\"running\":{},\"p50_us\":{:.1f},"
-             "\"p99_us\":{:.1f},\"max_us\":{:.1f}}}\n",
-             workers, teams, keys.size(), QuantileOf(times, 0.5),
-             QuantileOf(times, 0.99), QuantileOf(times, 1.0));
+  fmt::print(
+      "{{\"workers\":{},\"teams\":{},\"running\":{},\"p50_us\":{:.1f},"
+      "\"p99_us\":{:.1f},\"max_us\":{:.1f}}}\n",
+      workers, teams, keys.size(), QuantileOf(times, 0.5),
+      QuantileOf(times, 0.99), QuantileOf(times, 1.0));
 }
 
 }  // namespace
