--- a/lentilscale/scheduler.cc
+++ b/lentilscale/scheduler.cc
@@ -237,6 +237,7 @@
   for (auto& [name, team] : teams_) {
     if (team.waiting_ == 0 && team.running_ == 0) {
       team.is_above_entitled_ = false;
+      team.is_above_on_average_ = false;
       continue;
     }
     auto wanted = team.running_need_;
@@ -253,6 +254,7 @@
     const auto share = static_cast<double>(demand.team_->share_);
     const auto part = left * share / shares;
     demand.team_->entitled_ = std::min(demand.demand_, part);
+    demand.team_->is_above_on_average_ = demand.team_->average_ >= part;
     left -= demand.team_->entitled_;
     shares -= share;
     demand.team_->is_above_entitled_ =
@@ -265,6 +267,12 @@
   return lane.keys_.empty() || lane.blocked_at_ == changes_;
 }
 
+auto Scheduler::IsAboveShare(const Choice& choice) -> bool {
+  const auto is_call = choice.lane_ <= LaneIndex(Lane::kCall);
+  return is_call ? choice.team_->is_above_on_average_
+                 : choice.team_->is_above_entitled_;
+}
+
 // Strict weak order of two lane heads: true if `a` is served first.
 auto Scheduler::IsBefore(const Choice& a, const Choice& b) const -> bool {
   const auto head_time = [this](const Choice& choice) {
@@ -282,8 +290,8 @@
   if (is_urgent(a) != is_urgent(b)) {
     return is_urgent(a);
   }
-  if (a.team_->is_above_entitled_ != b.team_->is_above_entitled_) {
-    return b.team_->is_above_entitled_;
+  if (IsAboveShare(a) != IsAboveShare(b)) {
+    return IsAboveShare(b);
   }
   if (a.lane_ != b.lane_) {
     return a.lane_ < b.lane_;
--- a/lentilscale/scheduler.h
+++ b/lentilscale/scheduler.h
@@ -13,7 +13,9 @@
 //
 // Order of work under the fair policy: urgent work first; then teams below
 // their entitled share before teams above it; then calls before services
-// before batch work; then the team with the least use for its share.
+// before batch work; then the team with the least use for its share. For calls
+// the use that counts is the decayed average, so that a burst of short calls
+// does not wait behind batch work.
 
 #ifndef LENTILSCALE_SCHEDULER_H_
 #define LENTILSCALE_SCHEDULER_H_
@@ -239,6 +241,8 @@
     double average_ = 0;
     Millis average_at_ms_ = 0;
     bool is_above_entitled_ = false;
+    // The decayed average is above the team's part of the capacity.
+    bool is_above_on_average_ = false;
     double entitled_ = 0;
   };
 
@@ -262,6 +266,7 @@
   auto UpdateEntitled() -> void;
   auto ChooseNext() -> Choice;
   auto IsBefore(const Choice& a, const Choice& b) const -> bool;
+  static auto IsAboveShare(const Choice& choice) -> bool;
   auto IsBlocked(const LaneQueue& lane) const -> bool;
   auto RuleFor(Lane lane) const -> PlacementRule;
   auto FindWorker(const TeamState& team, const WorkItem& item)
--- a/testing/decisions_test.cc
+++ b/testing/decisions_test.cc
@@ -70,6 +70,25 @@
   BOOST_TEST(started["b"] == 8);
 }
 
+// A team whose calls come in bursts but stay below its share on average does
+// not wait behind batch work of others.
+BOOST_AUTO_TEST_CASE(BurstsOfCallsGoBeforeBatch) {
+  auto scheduler = MakeScheduler(2);
+  for (const auto* team : {"calls", "batch"}) {
+    scheduler.SetUsable(team, "s/a/0", 100);
+  }
+  for (auto i = 0; i < 30; ++i) {
+    scheduler.Enqueue(Item("b" + std::to_string(i), Lane::kBatch, "batch", i));
+  }
+  scheduler.Place(100, 4);
+  for (auto i = 0; i < 12; ++i) {
+    scheduler.Enqueue(Item("c" + std::to_string(i), Lane::kCall, "calls", 100));
+  }
+  for (const auto& placement : scheduler.Place(101, 12)) {
+    BOOST_TEST(placement.item_.team_ == "calls");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LimitsStopATeamAndAreAskedFor) {
   auto scheduler = MakeScheduler(2);
   scheduler.SetUsable("t", "s/a/0", 3);
