--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,9 @@
 	@BIN=$(BUILD) bash testing/bench.sh
 
 capacity: all
-	@BIN=$(BUILD) bash testing/capacity.sh
+	@mkdir -p out
+	@BIN=$(BUILD) bash testing/capacity.sh > out/capacity.jsonl
+	@$(BUILD)/capacity_fit out/capacity.jsonl
 
 lint: all
 	@clang-format --dry-run -Werror $(SOURCES) $(HEADERS)
--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -348,8 +348,10 @@
 }
 
 auto Node::HasStore(Millis now) const -> bool {
+  // Shorter than the age at which keyed work is refused, so that peers agree on
+  // an outage before they would have to stop.
   const auto window =
-      2 * settings_.store_poll_ms_ + settings_.store_timeout_ms_;
+      2 * settings_.store_poll_ms_ + settings_.store_timeout_ms_ / 2;
   return store_answered_ms_ != 0 && now - store_answered_ms_ <= window;
 }
 
