--- a/testing/capacity_fit.cc
+++ b/testing/capacity_fit.cc
@@ -123,11 +123,11 @@
     for (const auto& line : lines) {
       const auto entries = line["entries"].asDouble();
       const auto& values = line[quantity.metric_];
-      const auto change = quantity.is_rate_
-                              ? (values["after"].asDouble() -
-                                 values["before"].asDouble()) /
-                                    line["seconds"].asDouble()
-                              : values["after"].asDouble();
+      const auto change =
+          quantity.is_rate_
+              ? (values["after"].asDouble() - values["before"].asDouble()) /
+                    line["seconds"].asDouble()
+              : values["after"].asDouble();
       rows.push_back({1, line["workers"].asDouble() / entries, entries - 1});
       ys.push_back(change * quantity.scale_ / entries);
     }
@@ -137,9 +137,10 @@
       fmt::print(" {:.3g} ± {:.1g} |", fit.coefficients_[i], fit.errors_[i]);
     }
     for (const auto& size : kSizes) {
-      fmt::print(" {:.3g} |", fit.coefficients_[0] +
-                                  fit.coefficients_[1] * size.workers_ / size.entries_ +
-                                  fit.coefficients_[2] * (size.entries_ - 1));
+      fmt::print(" {:.3g} |",
+                 fit.coefficients_[0] +
+                     fit.coefficients_[1] * size.workers_ / size.entries_ +
+                     fit.coefficients_[2] * (size.entries_ - 1));
     }
     fmt::print("\n");
   }
--- a/testing/decisions_test.cc
+++ b/testing/decisions_test.cc
@@ -35,6 +35,7 @@
 auto KeysOf(const std::vector<Placement>& placements)
     -> std::vector<std::string> {
   std::vector<std::string> out;
+  out.reserve(placements.size());
   for (const auto& placement : placements) {
     out.push_back(placement.item_.key_);
   }
--- a/testing/fuzz_test.cc
+++ b/testing/fuzz_test.cc
@@ -106,12 +106,16 @@
          DecodeRpcResult("m", text, result);
        }},
       {"settings", "[instance]\nlisten_port = 1\n[store]\n[platform]\n",
-       [](const std::string& text) { Settings::FromText(text, "f").ok(); }},
+       [](const std::string& text) {
+         static_cast<void>(Settings::FromText(text, "f").ok());
+       }},
       {"ticket file", "[ticket]\nnumber = 1\n[team a]\nshare = 1\n",
-       [](const std::string& text) { TicketFromIni(text, "f").ok(); }},
+       [](const std::string& text) {
+         static_cast<void>(TicketFromIni(text, "f").ok());
+       }},
       {"experiment", "[run]\nseconds = 1\n[team a]\nrun_ms = 2\n",
        [](const std::string& text) {
-         LoadExperiment::FromText(text, "f").ok();
+         static_cast<void>(LoadExperiment::FromText(text, "f").ok());
        }},
   };
 }
--- a/testing/members_test.cc
+++ b/testing/members_test.cc
@@ -107,6 +107,7 @@
 
 auto Places(int count, const std::string& data_centre) {
   std::vector<ShardPlace> out;
+  out.reserve(static_cast<std::size_t>(count));
   for (auto i = 0; i < count; ++i) {
     out.push_back(
         {"s/" + data_centre + "/" + std::to_string(i), data_centre, "r"});
@@ -128,6 +129,7 @@
 
 BOOST_AUTO_TEST_CASE(AMemberThatLeavesMovesFewOtherShards) {
   std::vector<MemberRecord> members;
+  members.reserve(9);
   for (auto i = 0; i < 9; ++i) {
     members.push_back(Record("m" + std::to_string(i)));
   }
--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -10,8 +10,6 @@
 namespace lentilscale {
 namespace {
 
-constexpr auto kSections = "[instance]\n[store]\n[platform]\n";
-
 struct BadCase {
   std::string text_;
   std::string problem_;
