--- a/lentilscale/call_router.cc
+++ b/lentilscale/call_router.cc
@@ -66,19 +66,6 @@
 
 }  // namespace
 
-auto MakeRefusalReply(ErrorCode code, const std::string& reason) -> HomeReply {
-  const auto& info = GetErrorInfo(code);
-  Json::Value body;
-  body["code"] = std::string(info.name_);
-  body["not_run"] = info.not_run_;
-  body["reason"] = reason;
-  if (info.can_retry_) {
-    constexpr Millis kRetryAfterMs = 200;
-    body["retry_after_ms"] = Json::Int64(kRetryAfterMs);
-  }
-  return {info.http_status_, DumpJson(body)};
-}
-
 auto Call::FromJson(const Json::Value& object, Millis now) -> Call {
   Call out;
   out.team_ = RequireString(object, "team");
--- a/lentilscale/call_router.h
+++ b/lentilscale/call_router.h
@@ -59,7 +59,6 @@
   struct Options {
     std::string self_id_;
     std::string region_;
-    std::string data_centre_;
     std::int64_t attempts_ = 3;
     RetryBudget::Options retry_;
     // Waiting calls per slot in the own region above which calls cross to
@@ -140,9 +139,6 @@
   std::vector<MovedEnd> moved_ends_;
 };
 
-// Returns the reply for a refusal with a code of the table.
-auto MakeRefusalReply(ErrorCode code, const std::string& reason) -> HomeReply;
-
 }  // namespace lentilscale
 
 #endif  // LENTILSCALE_CALL_ROUTER_H_
--- a/lentilscale/executor.h
+++ b/lentilscale/executor.h
@@ -51,8 +51,6 @@
     RetryBudget::Options retry_;
     std::int64_t attempts_ = 3;
     std::int64_t team_queue_ = 2000;
-    std::string region_;
-    std::string data_centre_;
   };
 
   struct Hooks {
--- /dev/null
+++ b/lentilscale/executor_sessions.cc
@@ -0,0 +1,334 @@
+// The worker's answers are the truth about what runs. After each answer the
+// executor's tables are brought into line with it, and whatever cannot be told
+// from it is asked for by cancelling: a key that the worker then reports as
+// never started is proved not to have run.
+
+#include <algorithm>
+#include <set>
+
+#include "lentilscale/error.h"
+#include "lentilscale/executor.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+
+namespace lentilscale {
+namespace {
+
+constexpr auto kHttpOk = 200;
+constexpr auto kHttpConflict = 409;
+constexpr auto kSessionPath = "/v1/session";
+// Connections kept free for sessions and starts.
+constexpr std::int64_t kReservedConnections = 4;
+// Period of asking again about a call whose connection broke.
+constexpr Millis kResolvePeriodMs = 100;
+
+}  // namespace
+
+auto Executor::RenewDue(Millis now) -> void {
+  if (!HasRights()) {
+    return;
+  }
+  std::vector<std::string> due;
+  std::vector<std::string> lost;
+  for (auto& [id, session] : sessions_) {
+    if (session.IsDue(now)) {
+      due.push_back(id);
+    }
+    if (session.TakeLost(now)) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto& worker : due) {
+    Renew(worker);
+  }
+  for (const auto& worker : lost) {
+    OnWorkerLost(worker);
+  }
+}
+
+auto Executor::Renew(const std::string& worker) -> void {
+  auto& session = sessions_.at(worker);
+  const auto sent = MonotonicMs();
+  const auto request = session.Begin();
+  const auto body = DumpJson(request.ToJson());
+  metrics_->Add(Counter::kWorkerBytesOut,
+                static_cast<std::int64_t>(body.size()));
+  client_->Send({session.info().address_, "POST", kSessionPath, body, "",
+                 options_.worker_timeout_ms_ + request.wait_ms_},
+                [this, worker, request, sent](const HttpResult& result) {
+                  OnSessionResult(worker, request, sent, result);
+                });
+}
+
+auto Executor::OnSessionResult(const std::string& worker,
+                               const SessionRequest& request, Millis sent,
+                               const HttpResult& result) -> void {
+  metrics_->Add(Counter::kWorkerBytesIn,
+                static_cast<std::int64_t>(result.body_.size()));
+  const auto it = sessions_.find(worker);
+  if (it == sessions_.end() || it->second.epoch() != request.epoch_) {
+    return;
+  }
+  auto& session = it->second;
+  if (result.outcome_ == HttpOutcome::kAnswered &&
+      result.status_ == kHttpConflict) {
+    const auto shard = session.shard();
+    session.OnFailure(request, MonotonicMs());
+    hooks_.on_stale_shard_(shard);
+    return;
+  }
+  if (result.outcome_ != HttpOutcome::kAnswered || result.status_ != kHttpOk) {
+    session.OnFailure(request, MonotonicMs());
+    UpdateOpen(worker);
+    return;
+  }
+  SessionAnswer answer;
+  try {
+    answer = SessionAnswer::FromJson(ParseJson(result.body_));
+  } catch (const Error& e) {
+    LogEvent(Event::kBadPeerMessage,
+             {{"worker", worker}, {"problem", e.what()}});
+    session.OnFailure(request, MonotonicMs());
+    return;
+  }
+  const auto is_first = session.phase() != WorkerSession::Phase::kReady;
+  if (!session.OnAnswer(request, answer, MonotonicMs())) {
+    return;
+  }
+  ApplyAnswer(worker, answer, sent, is_first);
+  CheckShardOpen(session.shard());
+  UpdateOpen(worker);
+}
+
+auto Executor::ApplyAnswer(const std::string& worker,
+                           const SessionAnswer& answer, Millis sent,
+                           bool is_first) -> void {
+  auto& session = sessions_.at(worker);
+  auto& scheduler = SchedulerOf(session.info().service_);
+  if (is_first) {
+    LogEvent(Event::kWorkerClaimed,
+             {{"worker", worker}, {"epoch", std::to_string(session.epoch())}});
+    const auto& info = session.info();
+    auto capacity = info.capacity_;
+    capacity.slots_ =
+        std::min(capacity.slots_, info.connections_ - kReservedConnections);
+    scheduler.AddWorker(
+        {info.id_, session.shard(), info.rack_, info.data_centre_, capacity});
+  }
+  FailCallsOfOldBoot(worker);
+  for (const auto& running : answer.running_) {
+    AdoptRunning(worker, running);
+  }
+  for (const auto& ended : answer.ended_) {
+    ApplyEnded(worker, ended);
+  }
+  FindMissing(worker, answer, sent);
+}
+
+auto Executor::AdoptRunning(const std::string& worker,
+                            const RunningTask& running) -> void {
+  const auto now = MonotonicMs();
+  auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
+  const auto call = calls_.find(running.key_);
+  if (call != calls_.end()) {
+    // A call of this instance that outlived a time without the shard takes
+    // room again.
+    const auto& item = call->second.work_.item_;
+    scheduler.Occupy(
+        running.key_,
+        {worker, item.team_, item.group_, item.lane_, item.need_, now, false},
+        now);
+    if (call->second.phase_ == CallPhase::kResolving) {
+      sessions_.at(worker).PollAt(now + kResolvePeriodMs);
+    }
+    return;
+  }
+  const auto task = tasks_.find(running.key_);
+  if (task != tasks_.end()) {
+    if (task->second.phase_ == TaskPhase::kStarting) {
+      task->second.phase_ = TaskPhase::kRunning;
+      hooks_.on_task_event_({std::get<TaskWork>(task->second.work_.kind_).ref_,
+                             TaskEventKind::kStarted, EndStatus::kOk, 0, "",
+                             worker});
+    }
+    task->second.confirmed_ms_ = now;
+    sizes_.OnUsage(task->second.work_.item_.team_,
+                   task->second.work_.work_class_, running.used_);
+    return;
+  }
+  if (!running.tag_.isObject() || scheduler.FindOccupant(running.key_)) {
+    return;
+  }
+  // Started by an earlier owner: take it over as it is.
+  Work work = WorkFromTag(running.key_, running.tag_);
+  Occupant occupant{worker,
+                    work.item_.team_,
+                    work.item_.group_,
+                    work.item_.lane_,
+                    work.item_.need_,
+                    now,
+                    work.item_.lane_ == Lane::kBatch};
+  scheduler.Occupy(running.key_, occupant, now);
+  if (std::holds_alternative<TaskWork>(work.kind_)) {
+    TaskState state{std::move(work), TaskPhase::kRunning, worker, now, 0};
+    hooks_.on_task_event_({std::get<TaskWork>(state.work_.kind_).ref_,
+                           TaskEventKind::kStarted, EndStatus::kOk, 0, "",
+                           worker});
+    tasks_.emplace(running.key_, std::move(state));
+  }
+}
+
+auto Executor::ApplyEnded(const std::string& worker, const EndedTask& ended)
+    -> void {
+  if (calls_.contains(ended.key_)) {
+    ApplyEndedCall(worker, ended);
+    return;
+  }
+  const auto pending = events_.find(ended.key_);
+  if (pending != events_.end()) {
+    pending->second.worker_ = worker;
+    return;
+  }
+  const auto task = tasks_.find(ended.key_);
+  TaskRef ref;
+  if (task != tasks_.end()) {
+    ref = std::get<TaskWork>(task->second.work_.kind_).ref_;
+    sizes_.OnUsage(task->second.work_.item_.team_,
+                   task->second.work_.work_class_, ended.used_);
+    if (ended.status_ == EndStatus::kOutOfMemory) {
+      sizes_.OnOutOfMemory(task->second.work_.item_.team_,
+                           task->second.work_.work_class_,
+                           task->second.work_.item_.need_);
+    }
+  } else if (ended.tag_.isObject() && ended.tag_.isMember("ref")) {
+    ref = TaskRef::FromJson(ended.tag_["ref"]);
+  } else {
+    // A call of an earlier owner, or an end that was recorded already.
+    sessions_.at(worker).Acknowledge(ended.key_);
+    return;
+  }
+  const auto kind = ended.status_ == EndStatus::kNeverStarted
+                        ? TaskEventKind::kDropped
+                        : TaskEventKind::kEnded;
+  FinishTask(ended.key_,
+             {ref, kind, ended.status_, ended.progress_ms_, "", worker});
+}
+
+// The answer came with the session instead of the call's own connection: that
+// one is silent or broken.
+auto Executor::ApplyEndedCall(const std::string& worker, const EndedTask& ended)
+    -> void {
+  auto& call = calls_.at(ended.key_);
+  sessions_.at(worker).Acknowledge(ended.key_);
+  if (ended.status_ == EndStatus::kNeverStarted) {
+    RetryCall(ended.key_, ErrorCode::kNoRoom, "the worker did not take it");
+    return;
+  }
+  CallOutcome outcome;
+  outcome.worker_ = worker;
+  outcome.wait_ms_ = call.placed_ms_ - call.work_.item_.enqueued_ms_;
+  const auto has_answer =
+      ended.status_ == EndStatus::kOk || ended.status_ == EndStatus::kFailed;
+  outcome.kind_ =
+      has_answer ? CallOutcome::Kind::kAnswered : CallOutcome::Kind::kUnknown;
+  outcome.reason_ = has_answer ? "" : "the worker stopped it";
+  outcome.answer_ = ended.answer_;
+  FinishCall(ended.key_, std::move(outcome));
+}
+
+// Whatever was known to run before the question was sent and is in neither
+// list of the answer has stopped, for example because the worker restarted.
+auto Executor::FindMissing(const std::string& worker,
+                           const SessionAnswer& answer, Millis sent) -> void {
+  std::set<std::string> present;
+  for (const auto& task : answer.running_) {
+    present.insert(task.key_);
+  }
+  for (const auto& task : answer.ended_) {
+    present.insert(task.key_);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, task] : tasks_) {
+    const auto is_known_running = task.phase_ == TaskPhase::kRunning ||
+                                  task.phase_ == TaskPhase::kStopping;
+    if (task.worker_ == worker && is_known_running &&
+        task.confirmed_ms_ < sent && !present.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const auto& key : missing) {
+    const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
+    LogEvent(Event::kTaskLost, {{"task", key}, {"worker", worker}});
+    FinishTask(key,
+               {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "", worker});
+  }
+  auto& scheduler = SchedulerOf(sessions_.at(worker).info().service_);
+  for (const auto& key : scheduler.OccupantsOf(worker)) {
+    const auto is_ours = calls_.contains(key) || tasks_.contains(key) ||
+                         key.starts_with(kHoldKeyPrefix);
+    if (!is_ours && !present.contains(key)) {
+      scheduler.Release(key, MonotonicMs());
+    }
+  }
+}
+
+// The worker restarted after these calls were sent: whether they ran is not
+// known, and it will never tell.
+auto Executor::FailCallsOfOldBoot(const std::string& worker) -> void {
+  const auto boot = sessions_.at(worker).boot();
+  std::vector<std::string> failed;
+  for (const auto& [key, call] : calls_) {
+    if (call.phase_ != CallPhase::kQueued && call.worker_ == worker &&
+        call.boot_ != boot) {
+      failed.push_back(key);
+    }
+  }
+  for (const auto& key : failed) {
+    CallOutcome outcome;
+    outcome.worker_ = worker;
+    outcome.reason_ = "its worker restarted";
+    FinishCall(key, std::move(outcome));
+  }
+}
+
+auto Executor::OnWorkerLost(const std::string& worker) -> void {
+  LogEvent(Event::kWorkerLost, {{"worker", worker}});
+  std::vector<std::string> tasks;
+  std::vector<std::string> calls;
+  for (const auto& [key, task] : tasks_) {
+    if (task.phase_ != TaskPhase::kQueued && task.worker_ == worker) {
+      tasks.push_back(key);
+    }
+  }
+  for (const auto& [key, call] : calls_) {
+    if (call.phase_ != CallPhase::kQueued && call.worker_ == worker) {
+      calls.push_back(key);
+    }
+  }
+  for (const auto& key : tasks) {
+    const auto ref = std::get<TaskWork>(tasks_.at(key).work_.kind_).ref_;
+    FinishTask(key,
+               {ref, TaskEventKind::kLost, EndStatus::kLapsed, 0, "", worker});
+  }
+  for (const auto& key : calls) {
+    CallOutcome outcome;
+    outcome.reason_ = "its worker was lost";
+    FinishCall(key, std::move(outcome));
+  }
+  const auto shard = sessions_.at(worker).shard();
+  SchedulerOf(sessions_.at(worker).info().service_).RemoveWorker(worker);
+  if (!listed_.contains(worker)) {
+    RemoveSession(worker);
+  }
+  CheckShardOpen(shard);
+}
+
+auto Executor::OnHealth(const std::string& worker, const std::string& group,
+                        bool is_ok) -> void {
+  if (health_.OnEnd(worker, group, is_ok, MonotonicMs())) {
+    LogEvent(Event::kWorkerQuarantined, {{"worker", worker}});
+  }
+  UpdateOpen(worker);
+}
+
+}  // namespace lentilscale
--- a/lentilscale/holding_desk.cc
+++ b/lentilscale/holding_desk.cc
@@ -119,6 +119,9 @@
   if (result.succeeded_) {
     holdings_.OnSettled(plan, plan.record_, result.revision_);
     metrics_->Add(Counter::kHoldingsMoved);
+    LogEvent(
+        Event::kHoldingMoved,
+        {{"team", plan.team_}, {"revision", std::to_string(result.revision_)}});
     TellTaker(plan, result.revision_);
   } else {
     const auto* entry = result.Find(HoldingKey(plan.team_));
--- a/lentilscale/home_desk.cc
+++ b/lentilscale/home_desk.cc
@@ -3,23 +3,14 @@
 
 #include "lentilscale/home_desk.h"
 
-#include <fmt/format.h>
-
 #include "lentilscale/json.h"
+#include "lentilscale/refusal.h"
 
 namespace lentilscale {
-namespace {
-
-auto MakeRefusal(ErrorCode code, const std::string& reason) -> HomeReply {
-  const auto& info = GetErrorInfo(code);
-  Json::Value body;
-  body["code"] = std::string(info.name_);
-  body["not_run"] = info.not_run_;
-  body["reason"] = reason;
-  return {info.http_status_, DumpJson(body)};
-}
 
-}  // namespace
+auto MakeRefusalReply(ErrorCode code, const std::string& reason) -> HomeReply {
+  return {GetErrorInfo(code).http_status_, DumpJson(MakeRefusal(code, reason))};
+}
 
 auto SnapshotToJson(const RequestSnapshot& snapshot) -> Json::Value {
   Json::Value out;
@@ -74,8 +65,9 @@
   }
   const auto waiters = std::move(it->second.waiters_);
   homes_.erase(it);
+  // The router takes those who wait to the new home.
   const auto reply =
-      MakeRefusal(ErrorCode::kInProgress, "the request's home has moved");
+      MakeRefusalReply(ErrorCode::kNotOwner, "the request's home has moved");
   for (const auto& [key, list] : waiters) {
     for (const auto& done : list) {
       done(reply);
@@ -119,20 +111,22 @@
       break;
     case RequestDecision::Kind::kEnded:
       if (decision.answer_.http_status_ == 0) {
-        done(MakeRefusal(ErrorCode::kOutcomeUnknown,
-                         "it has run; its answer was too large to keep"));
+        done(MakeRefusalReply(ErrorCode::kOutcomeUnknown,
+                              "it has run; its answer was too large to keep"));
       } else {
         done({decision.answer_.http_status_, decision.answer_.body_});
       }
       break;
     case RequestDecision::Kind::kUnknown:
-      done(MakeRefusal(ErrorCode::kOutcomeUnknown,
-                       "it was issued before this instance became its home; "
-                       "it may have run"));
+      done(MakeRefusalReply(
+          ErrorCode::kOutcomeUnknown,
+          "it was issued before this instance became its home; "
+          "it may have run"));
       break;
     case RequestDecision::Kind::kNoRight:
-      done(MakeRefusal(ErrorCode::kNoAuthority,
-                       "its issue time lies beyond this instance's right"));
+      done(
+          MakeRefusalReply(ErrorCode::kNoAuthority,
+                           "its issue time lies beyond this instance's right"));
       break;
   }
 }
--- a/lentilscale/home_desk.h
+++ b/lentilscale/home_desk.h
@@ -30,6 +30,9 @@
   std::string body_;
 };
 
+// Returns the reply for a refusal with a code of the table.
+auto MakeRefusalReply(ErrorCode code, const std::string& reason) -> HomeReply;
+
 // Serializes a table for the shard's next owner, and reads it back.
 auto SnapshotToJson(const RequestSnapshot& snapshot) -> Json::Value;
 auto SnapshotFromJson(const Json::Value& object) -> RequestSnapshot;
--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -2,8 +2,8 @@
 // silent costs one timeout and is then closed, never reused. Kept connections
 // have a bounded idle age for the same reason.
 //
-// h2o's pool does not bound the number of connections; callers that must
-// respect such a bound count their open calls (see open_calls).
+// h2o's pool does not bound the number of connections; the executor keeps
+// within a worker's bound by giving it fewer tasks than it takes connections.
 
 #include "lentilscale/http_client.h"
 
@@ -21,7 +21,6 @@
 
 struct Pool {
   h2o_socketpool_t pool_{};
-  std::int64_t open_calls_ = 0;
 };
 
 struct Counters {
@@ -50,7 +49,6 @@
   state->is_done_ = true;
   state->client_ = nullptr;
   state->result_.outcome_ = outcome;
-  --state->pool_->open_calls_;
   uv_timer_stop(&state->timer_);
   uv_close(reinterpret_cast<uv_handle_t*>(&state->timer_),
            [](uv_handle_t* handle) {
@@ -190,7 +188,6 @@
   state->callback_ = std::move(callback);
   state->head_ = MakeHead(call);
   state->body_ = std::move(call.body_);
-  ++state->pool_->open_calls_;
   uv_timer_init(core_->loop_, &state->timer_);
   state->timer_.data = state;
   if (pool == nullptr) {
@@ -205,11 +202,6 @@
                                     &pool->pool_, OnConnect);
 }
 
-auto HttpClient::open_calls(const std::string& address) const -> std::int64_t {
-  const auto it = core_->pools_.find(address);
-  return it == core_->pools_.end() ? 0 : it->second->open_calls_;
-}
-
 auto HttpClient::bytes_out() const -> std::uint64_t {
   return core_->counters_.bytes_out_;
 }
--- a/lentilscale/http_client.h
+++ b/lentilscale/http_client.h
@@ -70,9 +70,6 @@
   // Sends `call`; `callback` runs exactly once, always later.
   auto Send(HttpCall call, Callback callback) -> void;
 
-  // Returns the number of calls to `address` that have not ended.
-  auto open_calls(const std::string& address) const -> std::int64_t;
-
   // Returns bytes of requests sent and of answers received.
   auto bytes_out() const -> std::uint64_t;
   auto bytes_in() const -> std::uint64_t;
--- a/lentilscale/job_keeper.cc
+++ b/lentilscale/job_keeper.cc
@@ -13,6 +13,7 @@
 
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
+#include "lentilscale/refusal.h"
 #include "lentilscale/shard_map.h"
 #include "lentilscale/timer.h"
 
@@ -24,18 +25,9 @@
 constexpr int kAttemptBits = 20;
 constexpr std::size_t kMaxListed = 1000;
 
-auto ErrorBody(ErrorCode code, const std::string& reason) -> Json::Value {
-  const auto& info = GetErrorInfo(code);
-  Json::Value body;
-  body["code"] = std::string(info.name_);
-  body["not_run"] = info.not_run_;
-  body["reason"] = reason;
-  return body;
-}
-
 auto Refuse(const JobKeeper::Done& done, ErrorCode code,
             const std::string& reason) -> void {
-  done(GetErrorInfo(code).http_status_, ErrorBody(code, reason));
+  done(GetErrorInfo(code).http_status_, MakeRefusal(code, reason));
 }
 
 }  // namespace
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -20,7 +20,6 @@
     {Event::kListening, "listening", LogLevel::kInfo},
     {Event::kStopping, "stopping", LogLevel::kInfo},
     {Event::kStopped, "stopped", LogLevel::kInfo},
-    {Event::kBadSettings, "bad_settings", LogLevel::kError},
     {Event::kStoreLost, "store_lost", LogLevel::kWarning},
     {Event::kStoreBack, "store_back", LogLevel::kInfo},
     {Event::kStoreRelayed, "store_relayed", LogLevel::kInfo},
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -28,7 +28,6 @@
   kListening = 1001,
   kStopping = 1002,
   kStopped = 1003,
-  kBadSettings = 1004,
   kStoreLost = 2001,
   kStoreBack = 2002,
   kStoreRelayed = 2003,
--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -211,7 +211,6 @@
   CallRouter::Options router;
   router.self_id_ = id_;
   router.region_ = settings_.region_;
-  router.data_centre_ = settings_.data_centre_;
   router.attempts_ = settings_.retry_attempts_;
   router.retry_.percent_ = settings_.retry_percent_;
   router.seed_ = Seed(id_);
@@ -364,6 +363,7 @@
     members_.RestartMissingTimes(now);
     LogEvent(Event::kStoreBack, {});
   }
+  is_relaying_ = is_relaying_ && !store_->IsReachable();
   store_answered_ms_ = now;
   owner_->OnViewRead();
   authority_.OnConfigurationRead(sent, configuration_.number_);
@@ -473,6 +473,10 @@
         !members_.IsReachable(state->record_.id_, now)) {
       continue;
     }
+    if (!is_relaying_) {
+      is_relaying_ = true;
+      LogEvent(Event::kStoreRelayed, {{"peer", state->record_.id_}});
+    }
     Json::Value request;
     request["path"] = path;
     request["body"] = ParseJson(body);
@@ -513,12 +517,27 @@
   router_->Tick();
   homes_.Expire(WallMs());
   NoteAuthority(now);
+  NoteSuspects(now);
   UpdateMetrics();
   if (phase_ != Phase::kRunning) {
     TickDrain();
   }
 }
 
+auto Node::NoteSuspects(Millis now) -> void {
+  std::set<std::string> suspects;
+  for (const auto* state : members_.Listed()) {
+    const auto& id = state->record_.id_;
+    if (state->has_digest_ && !members_.IsReachable(id, now)) {
+      suspects.insert(id);
+      if (!suspects_.contains(id)) {
+        LogEvent(Event::kMemberSuspected, {{"id", id}});
+      }
+    }
+  }
+  suspects_ = std::move(suspects);
+}
+
 auto Node::NoteAuthority(Millis now) -> void {
   const auto has_rights = authority_.RightsUntil() > now;
   if (has_rights != had_rights_) {
--- a/lentilscale/node.h
+++ b/lentilscale/node.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,7 @@
   auto TickDrain() -> void;
   auto UpdateMetrics() -> void;
   auto NoteAuthority(Millis now) -> void;
+  auto NoteSuspects(Millis now) -> void;
   auto HasStore(Millis now) const -> bool;
 
   uv_loop_t* loop_;
@@ -126,6 +128,8 @@
   Millis store_answered_ms_ = 0;
   bool is_store_lost_ = false;
   bool had_rights_ = false;
+  bool is_relaying_ = false;
+  std::set<std::string> suspects_;
   Phase phase_ = Phase::kRunning;
   Millis drain_started_ms_ = 0;
   std::function<void()> on_drained_;
--- a/lentilscale/peer_link.cc
+++ b/lentilscale/peer_link.cc
@@ -10,6 +10,7 @@
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
+#include "lentilscale/refusal.h"
 #include "lentilscale/rpc_client_codec.h"
 #include "lentilscale/timer.h"
 
@@ -19,14 +20,6 @@
 constexpr auto kRpcPath = "/peer/v1/rpc";
 constexpr auto kHttpOk = 200;
 
-auto ErrorBody(const Error& error) -> Json::Value {
-  Json::Value body;
-  body["code"] = std::string(error.info().name_);
-  body["not_run"] = error.info().not_run_;
-  body["reason"] = error.what();
-  return body;
-}
-
 // Digests have equal lengths, so the comparison takes the same time for every
 // wrong key.
 auto IsSameSecret(const std::string& a, const std::string& b) -> bool {
@@ -105,7 +98,7 @@
     try {
       requests_.at(path)(body, respond);
     } catch (const Error& e) {
-      respond(e.info().http_status_, ErrorBody(e));
+      respond(e.info().http_status_, MakeRefusal(e.code(), e.what()));
     }
   });
 }
@@ -150,7 +143,8 @@
                  reply->Send(status, DumpJson(body));
                });
   } catch (const Error& e) {
-    reply->Send(e.info().http_status_, DumpJson(ErrorBody(e)));
+    reply->Send(e.info().http_status_,
+                DumpJson(MakeRefusal(e.code(), e.what())));
   }
 }
 
--- a/lentilscale/scheduler.cc
+++ b/lentilscale/scheduler.cc
@@ -40,11 +40,6 @@
   return static_cast<std::size_t>(lane);
 }
 
-auto At(const std::vector<std::int64_t>& values, std::size_t index)
-    -> std::int64_t {
-  return index < values.size() ? values[index] : 0;
-}
-
 auto Slot(std::vector<std::int64_t>& values, std::size_t index)
     -> std::int64_t& {
   if (index >= values.size()) {
@@ -340,7 +335,7 @@
 }
 
 auto Scheduler::HasLimitRoom(const TeamState& team, Index shard) const -> bool {
-  return At(team.running_in_, shard) < At(team.usable_, shard);
+  return AtOrZero(team.running_in_, shard) < AtOrZero(team.usable_, shard);
 }
 
 auto Scheduler::MakeCandidate(const WorkerState& worker, Index index,
@@ -539,16 +534,6 @@
   return OccupyItem(item, index, now);
 }
 
-auto Scheduler::UrgentItems() const -> std::vector<WorkItem> {
-  std::vector<WorkItem> out;
-  for (const auto& [name, team] : teams_) {
-    for (const auto& key : team.lanes_[LaneIndex(Lane::kUrgent)].keys_) {
-      out.push_back(items_.at(key));
-    }
-  }
-  return out;
-}
-
 auto Scheduler::SetStopping(const std::string& key) -> void {
   const auto it = occupants_.find(key);
   if (it != occupants_.end()) {
@@ -556,200 +541,4 @@
   }
 }
 
-auto Scheduler::ChooseVictims(const WorkItem& item, Millis now) const
-    -> std::vector<std::string> {
-  const auto team_it = teams_.find(item.team_);
-  if (team_it == teams_.end()) {
-    return {};
-  }
-  std::vector<std::string> best;
-  Millis best_loss = INT64_MAX;
-  for (const auto& worker : workers_) {
-    if (!worker.is_open_ || !item.need_.FitsIn(worker.info_.capacity_) ||
-        !HasLimitRoom(team_it->second, worker.shard_)) {
-      continue;
-    }
-    // Youngest first: a task loses what it did since it started, at most.
-    std::vector<std::string> keys;
-    for (const auto& key : worker.occupants_) {
-      if (occupants_.at(key).can_preempt_) {
-        keys.push_back(key);
-      }
-    }
-    std::sort(keys.begin(), keys.end(), [this](const auto& a, const auto& b) {
-      return occupants_.at(a).started_ms_ > occupants_.at(b).started_ms_;
-    });
-    auto free = worker.free_;
-    Millis loss = 0;
-    std::vector<std::string> victims;
-    for (const auto& key : keys) {
-      if (item.need_.FitsIn(free)) {
-        break;
-      }
-      free += occupants_.at(key).need_;
-      loss += now - occupants_.at(key).started_ms_;
-      victims.push_back(key);
-    }
-    if (!victims.empty() && item.need_.FitsIn(free) && loss < best_loss) {
-      best = victims;
-      best_loss = loss;
-    }
-  }
-  return best;
-}
-
-auto Scheduler::OverLimit(const std::string& team,
-                          const std::string& shard) const
-    -> std::vector<std::string> {
-  const auto team_it = teams_.find(team);
-  const auto shard_it = shard_index_.find(shard);
-  if (team_it == teams_.end() || shard_it == shard_index_.end()) {
-    return {};
-  }
-  auto excess = At(team_it->second.running_in_, shard_it->second) -
-                At(team_it->second.usable_, shard_it->second);
-  if (excess <= 0) {
-    return {};
-  }
-  std::vector<std::string> keys;
-  for (const auto& worker : workers_) {
-    if (!worker.is_present_ || worker.shard_ != shard_it->second) {
-      continue;
-    }
-    for (const auto& key : worker.occupants_) {
-      const auto& occupant = occupants_.at(key);
-      if (occupant.team_ == team && occupant.lane_ != Lane::kCall &&
-          occupant.lane_ != Lane::kUrgent) {
-        keys.push_back(key);
-      }
-    }
-  }
-  std::sort(keys.begin(), keys.end(), [this](const auto& a, const auto& b) {
-    return occupants_.at(a).started_ms_ > occupants_.at(b).started_ms_;
-  });
-  keys.resize(std::min(keys.size(), static_cast<std::size_t>(excess)));
-  return keys;
-}
-
-auto Scheduler::DemandFor(const WorkItem& item, std::int64_t count) const
-    -> std::optional<LimitDemand> {
-  const auto it = teams_.find(item.team_);
-  LimitDemand demand{item.team_, "", count, item.enqueued_ms_};
-  std::int64_t best_free = 0;
-  for (const auto& worker : workers_) {
-    const auto is_limited =
-        it == teams_.end() || !HasLimitRoom(it->second, worker.shard_);
-    if (worker.is_open_ && item.need_.FitsIn(worker.free_) && is_limited &&
-        worker.free_.slots_ > best_free) {
-      best_free = worker.free_.slots_;
-      demand.shard_ = worker.info_.shard_;
-    }
-  }
-  return demand.shard_.empty() ? std::nullopt : std::optional(demand);
-}
-
-auto Scheduler::LimitDemands() const -> std::vector<LimitDemand> {
-  std::vector<LimitDemand> out;
-  if (open_free_slots_ <= 0) {
-    return out;
-  }
-  for (const auto& [name, team] : teams_) {
-    const WorkItem* oldest = nullptr;
-    for (const auto& lane : team.lanes_) {
-      if (lane.keys_.empty()) {
-        continue;
-      }
-      const auto& item = items_.at(lane.keys_.front());
-      if (oldest == nullptr || item.enqueued_ms_ < oldest->enqueued_ms_) {
-        oldest = &item;
-      }
-    }
-    if (oldest == nullptr) {
-      continue;
-    }
-    if (auto demand = DemandFor(*oldest, team.waiting_)) {
-      out.push_back(std::move(*demand));
-    }
-  }
-  return out;
-}
-
-auto Scheduler::Explain(const std::string& key) const -> WaitReason {
-  const auto it = items_.find(key);
-  if (it == items_.end()) {
-    return WaitReason::kNotQueued;
-  }
-  const auto& team = teams_.at(it->second.team_);
-  auto is_any_open = false;
-  auto has_room = false;
-  auto has_limit = false;
-  for (const auto& worker : workers_) {
-    is_any_open |= worker.is_open_;
-    if (worker.is_open_ && it->second.need_.FitsIn(worker.free_)) {
-      has_room = true;
-      has_limit |= HasLimitRoom(team, worker.shard_);
-    }
-  }
-  if (!is_any_open) {
-    return WaitReason::kNoOpenWorker;
-  }
-  if (!has_room) {
-    return WaitReason::kNoRoom;
-  }
-  return has_limit ? WaitReason::kBehindOthers : WaitReason::kOverLimit;
-}
-
-auto Scheduler::TeamLoads(Millis now) -> std::vector<TeamLoad> {
-  UpdateEntitled();
-  std::vector<TeamLoad> out;
-  for (auto& [name, team] : teams_) {
-    UpdateAverage(team, now);
-    if (team.waiting_ > 0 || team.running_ > 0) {
-      out.push_back({name, team.running_, team.waiting_, CurrentShare(team),
-                     team.entitled_});
-    }
-  }
-  return out;
-}
-
-auto Scheduler::QueueSize(const std::string& team) const -> std::int64_t {
-  const auto it = teams_.find(team);
-  return it == teams_.end() ? 0 : it->second.waiting_;
-}
-
-auto Scheduler::RunningInShard(const std::string& team,
-                               const std::string& shard) const -> std::int64_t {
-  const auto team_it = teams_.find(team);
-  const auto shard_it = shard_index_.find(shard);
-  if (team_it == teams_.end() || shard_it == shard_index_.end()) {
-    return 0;
-  }
-  return At(team_it->second.running_in_, shard_it->second);
-}
-
-auto Scheduler::OpenUsed() const -> Resources {
-  auto used = open_capacity_;
-  for (const auto& worker : workers_) {
-    if (worker.is_open_) {
-      used -= worker.free_;
-    }
-  }
-  return used;
-}
-
-auto Scheduler::LargestWorker() const -> Resources {
-  Resources out;
-  for (const auto& worker : workers_) {
-    if (!worker.is_present_) {
-      continue;
-    }
-    const auto& capacity = worker.info_.capacity_;
-    out.slots_ = std::max(out.slots_, capacity.slots_);
-    out.cpu_milli_ = std::max(out.cpu_milli_, capacity.cpu_milli_);
-    out.memory_mb_ = std::max(out.memory_mb_, capacity.memory_mb_);
-    out.accelerators_ = std::max(out.accelerators_, capacity.accelerators_);
-  }
-  return out;
-}
-
 }  // namespace lentilscale
--- a/lentilscale/scheduler.h
+++ b/lentilscale/scheduler.h
@@ -258,6 +258,11 @@
     std::map<Index, std::int64_t> by_data_centre_;
   };
 
+  // Returns the value at `index`, or 0 if the list is shorter.
+  static auto AtOrZero(const std::vector<std::int64_t>& values,
+                       std::size_t index) -> std::int64_t {
+    return index < values.size() ? values[index] : 0;
+  }
   auto TeamOf(const std::string& name) -> TeamState&;
   auto NameIndex(std::map<std::string, Index, std::less<>>& names,
                  const std::string& name) -> Index;
--- a/lentilscale/ticket_desk.cc
+++ b/lentilscale/ticket_desk.cc
@@ -10,6 +10,7 @@
 
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
+#include "lentilscale/refusal.h"
 #include "lentilscale/timer.h"
 
 namespace lentilscale {
@@ -24,15 +25,6 @@
   return fmt::format("{:08x}{:08x}{:08x}", device(), device(), device());
 }
 
-auto ErrorBody(ErrorCode code, const std::string& reason) -> Json::Value {
-  const auto& info = GetErrorInfo(code);
-  Json::Value body;
-  body["code"] = std::string(info.name_);
-  body["not_run"] = info.not_run_;
-  body["reason"] = reason;
-  return body;
-}
-
 auto DiffToJson(const Configuration& from, const Configuration& to)
     -> Json::Value {
   Json::Value lines(Json::arrayValue);
@@ -122,9 +114,9 @@
     }
     // Whether it took effect is not known; submitting the same ticket with the
     // same nonce again tells.
-    auto body = ErrorBody(ErrorCode::kStoreUnavailable,
-                          "the store does not answer; submit the same ticket "
-                          "again to learn whether it was accepted");
+    auto body = MakeRefusal(ErrorCode::kStoreUnavailable,
+                            "the store does not answer; submit the same ticket "
+                            "again to learn whether it was accepted");
     body["not_run"] = false;
     body["nonce"] = submission->ticket_.nonce_;
     submission->done_(503, body);
@@ -164,9 +156,9 @@
   LogEvent(Event::kTicketRefused, {{"number", std::to_string(number)},
                                    {"head", std::to_string(head)}});
   auto body =
-      ErrorBody(ErrorCode::kTicketConflict,
-                fmt::format("ticket {} does not follow the head, which is {}",
-                            number, head));
+      MakeRefusal(ErrorCode::kTicketConflict,
+                  fmt::format("ticket {} does not follow the head, which is {}",
+                              number, head));
   body["head"] = Json::Int64(head);
   submission.done_(GetErrorInfo(ErrorCode::kTicketConflict).http_status_, body);
 }
@@ -177,12 +169,12 @@
   txn.Get(key);
   store_->Commit(txn, [key, done](const StoreResult& result) {
     if (result.outcome_ != StoreOutcome::kAnswered) {
-      done(503, ErrorBody(ErrorCode::kStoreUnavailable, "no answer"));
+      done(503, MakeRefusal(ErrorCode::kStoreUnavailable, "no answer"));
       return;
     }
     const auto* entry = result.Find(key);
     if (entry == nullptr) {
-      done(404, ErrorBody(ErrorCode::kUnknownTicket, "no such ticket"));
+      done(404, MakeRefusal(ErrorCode::kUnknownTicket, "no such ticket"));
       return;
     }
     done(kHttpOk, ParseJson(entry->value_));
@@ -194,7 +186,7 @@
   txn.GetPrefix(kTicketLogPrefix, 0);
   store_->Commit(txn, [done](const StoreResult& result) {
     if (result.outcome_ != StoreOutcome::kAnswered) {
-      done(503, ErrorBody(ErrorCode::kStoreUnavailable, "no answer"));
+      done(503, MakeRefusal(ErrorCode::kStoreUnavailable, "no answer"));
       return;
     }
     Json::Value body;
--- a/lentilscale/worker_server.cc
+++ b/lentilscale/worker_server.cc
@@ -6,6 +6,7 @@
 
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
+#include "lentilscale/refusal.h"
 
 namespace lentilscale {
 namespace {
@@ -80,11 +81,8 @@
       throw Error(ErrorCode::kNotFound, "no such path");
     }
   } catch (const Error& e) {
-    Json::Value refusal;
-    refusal["code"] = std::string(e.info().name_);
-    refusal["not_run"] = e.info().not_run_;
-    refusal["reason"] = e.what();
-    reply->Send(e.info().http_status_, DumpJson(refusal));
+    reply->Send(e.info().http_status_,
+                DumpJson(MakeRefusal(e.code(), e.what())));
   }
 }
 
