Format a file that was new when the formatter ran

Cause: make format and make lint take files that git knows; scheduler_queries.cc was not known yet, so a clean clone failed lint. Change: formatted. Before: lint fails on a clean clone; after: clean.

--- a/lentilscale/scheduler_queries.cc
+++ b/lentilscale/scheduler_queries.cc
@@ -1,6 +1,6 @@
-// What others ask of the scheduler: whom to stop, what waits for a limit, why an
-// item waits, and loads for reports. Nothing here places; the scans are as long
-// as those of placement and run far less often.
+// What others ask of the scheduler: whom to stop, what waits for a limit, why
+// an item waits, and loads for reports. Nothing here places; the scans are as
+// long as those of placement and run far less often.
 
 #include <algorithm>
 
@@ -11,7 +11,8 @@
 auto Scheduler::UrgentItems() const -> std::vector<WorkItem> {
   std::vector<WorkItem> out;
   for (const auto& [name, team] : teams_) {
-    for (const auto& key : team.lanes_[static_cast<std::size_t>(Lane::kUrgent)].keys_) {
+    for (const auto& key :
+         team.lanes_[static_cast<std::size_t>(Lane::kUrgent)].keys_) {
       out.push_back(items_.at(key));
     }
   }
