Keep room for steps while their tickets are asked for; know the room of ended jobs' runs

Change: demand comes from the job's record; the first long call names all workers; room is reserved while a ticket is asked for; calls without a placement put a step back by one priority.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -171,6 +171,9 @@
                   const std::string& avoid, Millis now_ms) -> FleetWorker*;
   auto HasTeamRoom(const std::string& team, const Resources& demand) const
       -> bool;
+  auto AskForWishes(Millis now_ms) -> void;
+  auto AddAllWorkers(const StepRun& step, const Queue& queue,
+                     std::vector<std::string>& asked) const -> void;
   auto AskAdvice(StepRun& step, const Queue& queue, int needed, Millis now_ms)
       -> void;
   auto OnAdvice(const std::string& job, std::int64_t occurrence, int step,
@@ -201,6 +204,12 @@
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<StepKey, StepRun*> waiting_;
+  // Steps that need tickets in the present pass, and for how many tasks.
+  struct Wish {
+    StepRun* step_;
+    int needed_;
+  };
+  std::vector<Wish> wishes_;
   std::map<std::string, Queue> queues_seen_;
   std::map<std::string, Resources> team_used_;
   // Cancellations of jobs that are not known yet.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -78,16 +78,38 @@
                                ? PlaceGang(*step, *queue, now)
                                : PlaceStep(*step, *queue, now);
     if (is_placed) {
+      step->fruitless_calls_ = 0;
       waiting_.erase(KeyOf(*step));
     }
   }
+  AskForWishes(now);
+}
+
+// Calls go by priority, but each call after which a step could not be placed
+// puts it back by one, so that steps without room cannot take all slots.
+auto Dispatcher::AskForWishes(Millis now_ms) -> void {
+  const auto rank = [this](const Wish& wish) {
+    const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
+    return queue->priority_ + wish.step_->fruitless_calls_;
+  };
+  std::stable_sort(wishes_.begin(), wishes_.end(),
+                   [&](const Wish& a, const Wish& b) {
+                     return rank(a) < rank(b);
+                   });
+  for (const auto& wish : wishes_) {
+    const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
+    AskAdvice(*wish.step_, *queue, wish.needed_, now_ms);
+  }
+  wishes_.clear();
 }
 
 auto Dispatcher::IsCandidate(const FleetWorker& worker, const StepRun& step,
                              const Queue& queue, Millis now_ms) const -> bool {
   const auto& need = *step.step_;
   if (worker.entry_.service_ != queue.service_ || !worker.IsUsable(now_ms) ||
-      !worker.HasLabel(need.required_label_) || !worker.HasRoomFor(need)) {
+      !worker.HasLabel(need.required_label_) ||
+      !CapacityDemand(need).FitsIn(
+          worker.FreeFor(step.Name(), queue.priority_))) {
     return false;
   }
   if (need.max_per_worker_ > 0) {
@@ -202,7 +224,7 @@
     StartTask(step, static_cast<int>(i), *worker, NextRun(task), now_ms);
   }
   if (unplaced > 0) {
-    AskAdvice(step, queue, unplaced, now_ms);
+    wishes_.push_back({&step, unplaced});
   }
   return unplaced == 0;
 }
@@ -240,7 +262,7 @@
     --step.per_worker_[worker->entry_.id_];
   }
   if (static_cast<int>(chosen.size()) < count) {
-    AskAdvice(step, queue, count, now_ms);
+    wishes_.push_back({&step, count});
     return false;
   }
   std::int64_t run = 0;
@@ -263,11 +285,10 @@
   if (!advice_->HasSlot(is_urgent, now_ms)) {
     return;
   }
+  const auto demand = CapacityDemand(*step.step_);
   // The number of the step's tasks that a worker can take now.
   const auto places = [&](const FleetWorker& worker) {
-    auto free = worker.entry_.capacity_;
-    free -= worker.used_;
-    const auto demand = CapacityDemand(*step.step_);
+    auto free = worker.FreeFor(step.Name(), queue.priority_);
     auto most = step.step_->max_per_worker_ > 0 ? step.step_->max_per_worker_
                                                 : needed;
     auto taken = 0;
@@ -278,7 +299,7 @@
     return taken;
   };
   struct Option {
-    const FleetWorker* worker_;
+    FleetWorker* worker_;
     int places_;
     bool is_allowed_;
     double score_;
@@ -286,7 +307,7 @@
   std::vector<Option> options;
   auto covered = 0.0;
   auto possible = 0;
-  for (const auto& [id, worker] : workers_) {
+  for (auto& [id, worker] : workers_) {
     if (!IsCandidate(worker, step, queue, now_ms)) {
       continue;
     }
@@ -323,6 +344,16 @@
     }
     question.workers_.push_back(option.worker_->entry_.id_);
     covered += option.places_ * (option.is_allowed_ ? 1.0 : share);
+    if (option.is_allowed_) {
+      auto& reservation = option.worker_->reservations_[step.Name()];
+      reservation.priority_ = queue.priority_;
+      for (auto i = 0; i < option.places_; ++i) {
+        reservation.amount_ += demand;
+      }
+    }
+  }
+  if (!is_urgent && step.allowed_.empty()) {
+    AddAllWorkers(step, queue, question.workers_);
   }
   question.step_ = step.Name();
   question.is_urgent_ = is_urgent;
@@ -341,6 +372,22 @@
       });
 }
 
+// The first long call for a step names all workers of the service: the answer
+// holds for good, so that later calls can name just workers that are allowed
+// and have room.
+auto Dispatcher::AddAllWorkers(const StepRun& step, const Queue& queue,
+                               std::vector<std::string>& asked) const -> void {
+  const std::set<std::string> named(asked.begin(), asked.end());
+  for (const auto& [id, worker] : workers_) {
+    if (asked.size() < kMaxAdviceWorkers && !named.contains(id) &&
+        worker.entry_.service_ == queue.service_ && worker.is_listed_ &&
+        !worker.entry_.is_draining_ &&
+        worker.HasLabel(step.step_->required_label_)) {
+      asked.push_back(id);
+    }
+  }
+}
+
 auto Dispatcher::OnAdvice(const std::string& job, std::int64_t occurrence,
                           int step_number,
                           const std::vector<std::string>& asked,
@@ -349,11 +396,16 @@
   auto* step =
       found == nullptr ? nullptr : found->FindStep(occurrence, step_number);
   RequestSchedule();
+  const auto name = fmt::format("{}.{}.{}", job, occurrence, step_number);
+  for (auto& [id, worker] : workers_) {
+    worker.reservations_.erase(name);
+  }
   if (step == nullptr) {
     return;
   }
   const auto now = BootMs();
   step->is_asking_advice_ = false;
+  ++step->fruitless_calls_;
   LogEvent(Event::kFleetAdvice,
            {{"step", step->Name()},
             {"asked", std::to_string(asked.size())},
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -349,7 +349,11 @@
                              Millis now_ms) -> void {
   const auto& ref = running.run_;
   const auto id = TaskId::FromString(ref.task_);
-  auto* job = id.has_value() ? FindJob(id->job_) : nullptr;
+  if (!id.has_value()) {
+    // Not a task of ours; it cannot be named in a stop either.
+    return;
+  }
+  auto* job = FindJob(id->job_);
   auto* task = job == nullptr ? nullptr : job->FindTask(*id);
   auto* step =
       job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
@@ -363,24 +367,26 @@
   }
   PlacedRun run;
   run.phase_ = PlacedRun::Phase::kRunning;
-  run.task_ = id.value_or(TaskId{});
+  run.task_ = *id;
   run.run_ = ref.run_;
   run.settled_ms_ = now_ms;
   run.started_ms_ = now_ms;
+  // A job that has ended has no tasks here, but its runs still take room.
+  const auto* shape = job == nullptr ? nullptr : job->ShapeOf(*id);
+  if (shape != nullptr) {
+    run.demand_ = CapacityDemand(*shape);
+    run.team_demand_ = shape->demand_;
+    run.team_ = job->record().team_;
+    run.fills_ = shape->fills_;
+    run.tail_target_ms_ = shape->tail_target_ms_;
+    run.is_long_running_ = shape->is_long_running_;
+    team_used_[run.team_] += run.team_demand_;
+  }
   if (task == nullptr) {
-    // Not a task of a job that is known: stop it. What it takes is unknown.
-    run.task_.job_ = run.task_.job_.empty() ? ref.task_ : run.task_.job_;
     StopRun(run);
     worker.Add(run);
     return;
   }
-  run.demand_ = CapacityDemand(*step->step_);
-  run.team_demand_ = step->step_->demand_;
-  run.team_ = job->record().team_;
-  run.fills_ = step->step_->fills_;
-  run.tail_target_ms_ = step->step_->tail_target_ms_;
-  run.is_long_running_ = step->step_->is_long_running_;
-  team_used_[run.team_] += run.team_demand_;
   ++step->per_worker_[worker.entry_.id_];
   const auto is_adopted = !job->IsEnded() &&
                           task->phase_ == Task::Phase::kWaiting &&
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -73,10 +73,16 @@
          now_ms >= suspect_until_ms_ && now_ms >= quarantined_until_ms_;
 }
 
-auto FleetWorker::HasRoomFor(const Step& step) const -> bool {
+auto FleetWorker::FreeFor(const std::string& step_name, int priority) const
+    -> Resources {
   auto free = entry_.capacity_;
   free -= used_;
-  return CapacityDemand(step).FitsIn(free);
+  for (const auto& [name, reservation] : reservations_) {
+    if (name != step_name && reservation.priority_ <= priority) {
+      free -= reservation.amount_;
+    }
+  }
+  return free;
 }
 
 auto FleetWorker::HasLabel(const std::string& label) const -> bool {
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -51,6 +51,12 @@
   Millis next_pace_ms_ = 0;
 };
 
+// Room that is kept for a step while its ticket is asked for.
+struct Reservation {
+  Resources amount_;
+  int priority_ = 0;
+};
+
 struct FleetWorker {
   WorkerEntry entry_;
   // False if the entry has left the list.
@@ -92,6 +98,8 @@
   // By task name and run number.
   std::map<std::pair<std::string, std::int64_t>, PlacedRun> runs_;
   Resources used_;
+  // By the step's name.
+  std::map<std::string, Reservation> reservations_;
   int filling_ = 0;
   int serving_ = 0;
 
@@ -108,8 +116,9 @@
 
   // Returns true if new runs may be started there.
   auto IsUsable(Millis now_ms) const -> bool;
-  // Returns true if a task of `step` fits besides what is there.
-  auto HasRoomFor(const Step& step) const -> bool;
+  // Returns what is free for the step named `step_name` of the given priority:
+  // room that is reserved for equal or more urgent steps is not.
+  auto FreeFor(const std::string& step_name, int priority) const -> Resources;
   auto HasLabel(const std::string& label) const -> bool;
   // Returns the rack, the worker's second label; empty if it has none.
   auto Rack() const -> std::string;
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -145,6 +145,13 @@
   return &step->tasks_[static_cast<std::size_t>(id.index_)];
 }
 
+auto Job::ShapeOf(const TaskId& id) const -> const Step* {
+  return id.step_ >= 0 &&
+                 static_cast<std::size_t>(id.step_) < record_.steps_.size()
+             ? &record_.steps_[static_cast<std::size_t>(id.step_)]
+             : nullptr;
+}
+
 auto Job::steps() -> std::vector<StepRun*> {
   std::vector<StepRun*> all;
   for (auto& [number, steps] : occurrences_) {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -77,6 +77,8 @@
   std::map<std::string, StepTicket> tickets_;
   bool is_asking_advice_ = false;
   Millis next_advice_ms_ = 0;
+  // Calls for advice since the step was last placed whole.
+  int fruitless_calls_ = 0;
   // The number of the step's runs on each worker.
   std::map<std::string, int> per_worker_;
 
@@ -112,6 +114,9 @@
   // Returns the step, or nullptr if it does not exist (any more).
   auto FindStep(std::int64_t occurrence, int step) -> StepRun*;
   auto FindTask(const TaskId& id) -> Task*;
+  // Returns the step as it was handed in, also of an occurrence that does not
+  // exist; nullptr if the job has no such step.
+  auto ShapeOf(const TaskId& id) const -> const Step*;
   auto steps() -> std::vector<StepRun*>;
 
   auto MarkStarted() -> void;
