--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -145,9 +145,12 @@
       Refuse(reply, 504, job.id_, "no answer from the store");
       return;
     }
-    RunAfter(loop_, kStoreRetryMs, [this, job, give_up_ms, reply] {
-      Store(job, give_up_ms, true, reply);
-    });
+    RunAfter(loop_, kStoreRetryMs,
+             [this, job, give_up_ms, reply, alive = is_alive_] {
+               if (*alive) {
+                 Store(job, give_up_ms, true, reply);
+               }
+             });
   });
 }
 
@@ -217,9 +220,12 @@
              "no answer from the store");
       return;
     }
-    RunAfter(loop_, kStoreRetryMs, [this, id, give_up_ms, reply] {
-      StoreCancel(id, give_up_ms, reply);
-    });
+    RunAfter(loop_, kStoreRetryMs,
+             [this, id, give_up_ms, reply, alive = is_alive_] {
+               if (*alive) {
+                 StoreCancel(id, give_up_ms, reply);
+               }
+             });
   });
 }
 
--- a/fleet/front_desk.h
+++ b/fleet/front_desk.h
@@ -50,6 +50,9 @@
  public:
   FrontDesk(uv_loop_t* loop, RecordStore* store, const ConfigFeed* config,
             FrontFormats formats, OwnerLink owner, Millis max_config_age_ms);
+  ~FrontDesk() { *is_alive_ = false; }
+  FrontDesk(const FrontDesk&) = delete;
+  auto operator=(const FrontDesk&) -> FrontDesk& = delete;
 
   // Serves one request of a client.
   auto Handle(const HttpRequest& request, std::shared_ptr<HttpReply> reply)
@@ -85,6 +88,7 @@
   FrontFormats formats_;
   OwnerLink owner_;
   Millis max_config_age_ms_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace lentilscale::fleet
--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -41,6 +41,8 @@
   h2o_iovec_t bufs_[2]{};
   HttpResult result_;
   HttpClient::Callback callback_;
+  // False once the client is gone; its callers are gone then, too.
+  std::shared_ptr<bool> is_client_alive_;
   bool is_sent_ = false;
   bool is_done_ = false;
 };
@@ -56,7 +58,9 @@
   uv_close(reinterpret_cast<uv_handle_t*>(&state->timer_),
            [](uv_handle_t* handle) {
              auto* closed = static_cast<CallState*>(handle->data);
-             closed->callback_(closed->result_);
+             if (*closed->is_client_alive_) {
+               closed->callback_(closed->result_);
+             }
              delete closed;
            });
 }
@@ -127,7 +131,9 @@
 auto MakeHead(const HttpCall& call) -> std::string {
   auto head =
       fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
-                  call.method_, call.path_, call.address_, call.body_.size());
+                  call.method_, call.path_,
+                  call.host_.empty() ? call.address_ : call.host_,
+                  call.body_.size());
   if (!call.bearer_.empty()) {
     head += fmt::format("Authorization: Bearer {}\r\n", call.bearer_);
   }
@@ -147,6 +153,7 @@
   std::map<std::string, std::unique_ptr<Pool>, std::less<>> pools_;
   std::vector<std::unique_ptr<Pool>> retired_pools_;
   Counters counters_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 
   // Returns the pool for `address`, or nullptr if it is not IP:port.
   auto FindPool(const std::string& address) -> Pool* {
@@ -189,6 +196,7 @@
 // Pools and timers of h2o refer to the loop; a client lives as long as the
 // process, so its core is left to the end of the process.
 HttpClient::~HttpClient() {
+  *core_->is_alive_ = false;
   core_.release();  // NOLINT(bugprone-unused-return-value)
 }
 
@@ -199,6 +207,7 @@
   state->pool_ = pool == nullptr ? &no_pool : pool;
   state->counters_ = &core_->counters_;
   state->callback_ = std::move(callback);
+  state->is_client_alive_ = core_->is_alive_;
   state->result_.sent_ms_ = BootMs();
   state->head_ = MakeHead(call);
   state->body_ = std::move(call.body_);
--- a/lentilscale/http_client.h
+++ b/lentilscale/http_client.h
@@ -36,6 +36,8 @@
   Millis timeout_ms_ = 1000;
   // Further headers, by name and value.
   std::vector<std::pair<std::string, std::string>> headers_ = {};
+  // The Host header; the address if it is empty.
+  std::string host_ = {};
 };
 
 // How a call ended.
--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -242,6 +242,9 @@
   // Connections of h2o refer to the context until the loop ends; a server is
   // destroyed only at the end of the process, so the core is left to it.
   core_->CloseListener();
+  core_->handler_ = [](const HttpRequest&, std::shared_ptr<HttpReply> reply) {
+    reply->Send(503, R"({"code":"shutting_down","not_run":true})");
+  };
   core_.release();  // NOLINT(bugprone-unused-return-value)
 }
 
--- /dev/null
+++ b/testing/fleet_test.cc
@@ -0,0 +1,546 @@
+// The fleet scheduler end to end: real instances with the platform's adapter
+// against the emulated platform, all on one event loop. Each case causes one
+// kind of trouble and then checks that every job ends as it should and that the
+// workers saw no broken promise.
+
+#define BOOST_TEST_MODULE fleet
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+#include "platform/platform_node.h"
+#include "testing/platform_emulator_stand_in.h"
+
+namespace lentilscale::testing {
+namespace {
+
+// Cases wait for conditions; this bounds a case that never gets there.
+constexpr Millis kPatienceMs = 20000;
+
+auto FreeAddress() -> std::string {
+  const auto fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in addr{};
+  addr.sin_family = AF_INET;
+  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(addr);
+  bind(fd, reinterpret_cast<sockaddr*>(&addr), length);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&addr), &length);
+  close(fd);
+  return fmt::format("127.0.0.1:{}", ntohs(addr.sin_port));
+}
+
+struct Answer {
+  int status_ = 0;
+  std::string body_;
+};
+
+// One step as clients write it.
+struct StepText {
+  int count_ = 1;
+  int cpu_ = 1000;
+  int gpu_ = 0;
+  std::string more_ = {};
+};
+
+class Fleet {
+ public:
+  Fleet() {
+    signal(SIGPIPE, SIG_IGN);
+    SetLogLevel(LogLevel::kError);
+    loop_ = uv_default_loop();
+    platform_ = std::make_unique<PlatformEmulator>(loop_);
+    client_ = std::make_unique<HttpClient>(loop_, HttpClient::Options{});
+    Configure();
+  }
+
+  auto platform() -> PlatformEmulator& { return *platform_; }
+
+  auto Configure(const std::string& keys = R"(["key-a"])",
+                 const std::string& limit = "{}", bool has_advice = false)
+      -> void {
+    const auto advice =
+        has_advice
+            ? R"(,"advice":{"decide_ms":20.0,"period_ms":0.5,"valid_ms":2000})"
+            : "";
+    platform_->store().Put(
+        "op/config",
+        fmt::format(
+            R"({{"version":{},"routes":[{{"name":"q","host":"h.example",)"
+            R"("prefix":"/q/","service":"s","priority":1,"max_attempts":3,)"
+            R"("stretch":2.0,"target_duration_ms":300,"public":false{}}}],)"
+            R"("services":[],"limits":{{}},"tenants":[{{"name":"a",)"
+            R"("api_keys":{},"weight":1,"max_count":{}}}]}})",
+            ++version_, advice, keys, limit));
+  }
+
+  auto AddNode() -> std::size_t {
+    platform::BootFile boot;
+    boot.node_name_ = fmt::format("node-{}", nodes_.size());
+    boot.client_address_ = FreeAddress();
+    boot.readiness_address_ = FreeAddress();
+    boot.peer_address_ = FreeAddress();
+    boot.store_address_ = platform_->store().address();
+    boot.advice_address_ = platform_->advice_address();
+    boot.stop_ms_ = 200;
+    auto node = platform::PlatformNode::Create(loop_, boot);
+    BOOST_REQUIRE(node.ok());
+    addresses_.push_back(boot.client_address_);
+    readiness_.push_back(boot.readiness_address_);
+    nodes_.push_back(*std::move(node));
+    return nodes_.size() - 1;
+  }
+
+  // Ends an instance as a kill does: nothing of it is said or done any more.
+  auto KillNode(std::size_t index) -> void { nodes_[index].reset(); }
+  auto node(std::size_t index) -> fleet::FleetNode& {
+    return nodes_[index]->node();
+  }
+
+  auto RunUntil(const std::function<bool()>& condition) -> bool {
+    const auto until = MonotonicMs() + kPatienceMs;
+    uv_timer_t* waker = new uv_timer_t;
+    uv_timer_init(loop_, waker);
+    uv_timer_start(waker, [](uv_timer_t*) {}, 5, 5);
+    auto holds = condition();
+    while (!holds && MonotonicMs() < until) {
+      uv_run(loop_, UV_RUN_ONCE);
+      holds = condition();
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(waker), [](uv_handle_t* handle) {
+      delete reinterpret_cast<uv_timer_t*>(handle);
+    });
+    return holds;
+  }
+
+  auto RunFor(Millis ms) -> void {
+    const auto until = MonotonicMs() + ms;
+    RunUntil([&] { return MonotonicMs() >= until; });
+  }
+
+  auto Call(std::size_t node, const std::string& method,
+            const std::string& path, const std::string& body = "",
+            const std::string& key = "key-a",
+            const std::string& host = "h.example") -> Answer {
+    std::optional<Answer> answer;
+    client_->Send({addresses_[node], method, path, body, key, 3000, {}, host},
+                  [&](const HttpResult& result) {
+                    answer = Answer{result.status_, result.body_};
+                  });
+    BOOST_REQUIRE(RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  auto Ready(std::size_t node) -> bool {
+    std::optional<int> status;
+    client_->Send({readiness_[node], "GET", "/readiness", "", "", 1000},
+                  [&](const HttpResult& result) { status = result.status_; });
+    RunUntil([&] { return status.has_value(); });
+    return *status == 200;
+  }
+
+  // Hands a job in and returns the status.
+  auto Submit(std::size_t node, const std::string& id, const std::string& spec,
+              const std::vector<StepText>& steps) -> int {
+    std::string list;
+    for (const auto& step : steps) {
+      list += fmt::format(
+          R"({}{{"count":{},"cpu":{},"mem_mb":10,"gpu":{},"estimate_ms":100{}}})",
+          list.empty() ? "" : ",", step.count_, step.cpu_, step.gpu_,
+          step.more_);
+    }
+    platform_->SetDemand(id, steps[0].cpu_, steps[0].gpu_);
+    return Call(node, "POST", "/q/" + id,
+                fmt::format(R"({{"spec":"{}","steps":[{}]}})", spec, list))
+        .status_;
+  }
+
+  auto State(std::size_t node, const std::string& id) -> std::string {
+    const auto answer = Call(node, "GET", "/q/" + id);
+    return answer.status_ == 200
+               ? ParseJson(answer.body_)["state"].asString()
+               : std::to_string(answer.status_);
+  }
+
+  auto WaitForState(std::size_t node, const std::string& id,
+                    const std::string& state) -> bool {
+    const auto until = MonotonicMs() + kPatienceMs;
+    while (MonotonicMs() < until) {
+      if (State(node, id) == state) {
+        return true;
+      }
+      RunFor(20);
+    }
+    BOOST_TEST_MESSAGE(id << " is " << State(node, id));
+    return false;
+  }
+
+  auto CheckPromises() -> void {
+    for (const auto& violation : platform_->violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+
+  // Starts `nodes` instances and `workers` workers of 4 processors and 4
+  // accelerators, and waits until a job runs.
+  auto Start(int nodes, int workers) -> void {
+    for (auto i = 0; i < workers; ++i) {
+      platform_->AddWorker(fmt::format("i-{}", i), "s", 4000, 4);
+    }
+    for (auto i = 0; i < nodes; ++i) {
+      AddNode();
+    }
+    for (auto i = 0; i < nodes; ++i) {
+      BOOST_REQUIRE(
+          RunUntil([&] { return Ready(static_cast<std::size_t>(i)); }));
+    }
+    BOOST_REQUIRE_EQUAL(Submit(0, "ffffffffffffffff", "ms=20", {{1}}), 200);
+    BOOST_REQUIRE(WaitForState(0, "ffffffffffffffff", "completed"));
+  }
+
+  // Returns the instance that schedules.
+  auto OwnerNode() -> std::size_t {
+    const auto owner =
+        ParseJson(platform_->store().Get("ls/owner"))["instance"].asString();
+    return static_cast<std::size_t>(std::stoi(owner.substr(5)));
+  }
+
+ private:
+  uv_loop_t* loop_;
+  std::unique_ptr<PlatformEmulator> platform_;
+  std::unique_ptr<HttpClient> client_;
+  std::vector<std::string> addresses_;
+  std::vector<std::string> readiness_;
+  std::vector<std::unique_ptr<platform::PlatformNode>> nodes_;
+  int version_ = 0;
+};
+
+constexpr auto kJob = "00000000000000a1";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_job_runs_and_is_shown_at_every_instance) {
+  Fleet fleet;
+  fleet.Start(3, 3);
+  BOOST_TEST(fleet.Submit(1, kJob, "ms=50",
+                          {{4, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) ==
+             200);
+  BOOST_TEST(fleet.Submit(2, kJob, "ms=50", {{4}}) == 200);
+  for (auto node = 0; node < 3; ++node) {
+    BOOST_TEST(fleet.WaitForState(static_cast<std::size_t>(node), kJob,
+                                  "completed"));
+  }
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 6);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=50", {{4}}) == 200);
+  BOOST_TEST(fleet.State(0, "00000000000000ff") == "410");
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(bad_requests_are_refused_with_their_status) {
+  Fleet fleet;
+  fleet.Start(1, 1);
+  const struct {
+    const char* method_;
+    std::string path_;
+    std::string body_;
+    std::string key_;
+    int status_;
+  } kCases[] = {
+      {"POST", "/q/00000000000000b1", "{", "key-a", 400},
+      {"POST", "/q/00000000000000b1", "[]", "key-a", 400},
+      {"POST", "/q/00000000000000b1", R"({"spec":"x"})", "key-a", 400},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":0}]})", "key-a", 400},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":1,"after":[0]}]})",
+       "key-a", 400},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":"x"}]})", "key-a",
+       400},
+      {"POST", "/q/short", R"({"steps":[{"count":1}]})", "key-a", 400},
+      {"POST", "/none/00000000000000b1", "{}", "key-a", 404},
+      {"GET", "/none/", "", "key-a", 404},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":1}]})", "other", 401},
+      {"GET", "/q/00000000000000b1", "", "", 401},
+      {"GET", "/q/00000000000000b1", "", "key-a", 410},
+      {"DELETE", "/q/00000000000000b1", "", "key-a", 410},
+      {"GET", "/q/", "", "key-a", 200},
+  };
+  for (const auto& row : kCases) {
+    BOOST_TEST_CONTEXT(row.method_ << " " << row.path_ << " " << row.body_) {
+      BOOST_TEST(
+          fleet.Call(0, row.method_, row.path_, row.body_, row.key_).status_ ==
+          row.status_);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(failed_tasks_are_repeated_up_to_the_limit) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=30 fail=2", {{1}}) == 200);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 3);
+  BOOST_TEST(fleet.Submit(0, "00000000000000a2", "ms=30 fail=9", {{1}}) == 200);
+  BOOST_TEST(fleet.WaitForState(0, "00000000000000a2", "failed"));
+  BOOST_TEST(fleet.platform().StartsOf("00000000000000a2") == 3);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(workers_are_never_overfilled) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  for (auto i = 0; i < 6; ++i) {
+    BOOST_TEST(fleet.Submit(0, fmt::format("00000000000000c{}", i), "ms=60",
+                            {{5, 1500, 0, ""}}) == 200);
+  }
+  for (auto i = 0; i < 6; ++i) {
+    BOOST_TEST(fleet.WaitForState(1, fmt::format("00000000000000c{}", i),
+                                  "completed"));
+  }
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_killed_owner_is_followed_by_another) {
+  Fleet fleet;
+  fleet.Start(3, 3);
+  const auto owner = fleet.OwnerNode();
+  const auto other = (owner + 1) % 3;
+  BOOST_TEST(fleet.Submit(other, kJob, "ms=3500", {{6, 1000, 0, ""}}) == 200);
+  BOOST_TEST(fleet.Submit(other, "00000000000000a3", "ms=100",
+                          {{12, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) ==
+             200);
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.platform().RunningOf(kJob) == 6; }));
+  fleet.KillNode(owner);
+  BOOST_TEST(fleet.WaitForState(other, "00000000000000a3", "completed"));
+  BOOST_TEST(fleet.WaitForState(other, kJob, "completed"));
+  // The running tasks were adopted, not started again.
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 6);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(all_killed_instances_leave_their_work_to_new_ones) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=1500", {{4, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 4; });
+  fleet.KillNode(0);
+  fleet.KillNode(1);
+  fleet.RunFor(300);
+  const auto fresh = fleet.AddNode();
+  fleet.RunUntil([&] { return fleet.Ready(fresh); });
+  BOOST_TEST(fleet.WaitForState(fresh, kJob, "completed"));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 4);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(an_unanswered_start_is_ruled_out_before_the_next) {
+  Fleet fleet;
+  fleet.Start(1, 3);
+  fleet.platform().worker("i-0").CarryOutStartsLate(4, 1500);
+  fleet.platform().worker("i-1").LoseStartAnswers(2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=900", {{9, 1000, 0, ""}}) == 200);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  fleet.RunFor(1000);
+  fleet.CheckPromises();
+}
+
+// A worker that is cut off and never comes back: its lease must be let run out,
+// although it is asked again and again.
+BOOST_AUTO_TEST_CASE(tasks_of_a_silent_worker_run_elsewhere_after_its_lease) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=2500", {{8, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 8; });
+  fleet.platform().worker("i-1").SetCut(true);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 12);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_worker_gets_its_tasks_again) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=700", {{8, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 8; });
+  fleet.platform().worker("i-0").Restart();
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 12);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_new_tasks) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  fleet.platform().worker("i-0").SetDraining();
+  fleet.RunFor(1500);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=300", {{8, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 4; });
+  BOOST_TEST(fleet.platform().worker("i-0").running_count() == 0U);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(work_goes_on_while_the_store_is_down) {
+  for (const auto mode :
+       {EmulatedStore::Mode::kRefusing, EmulatedStore::Mode::kSilent}) {
+    Fleet fleet;
+    fleet.Start(2, 2);
+    BOOST_TEST(fleet.Submit(0, kJob, "ms=400",
+                            {{8, 1000, 0, ""},
+                             {8, 1000, 0, R"(,"after":[0])"},
+                             {8, 1000, 0, R"(,"after":[1])"}}) == 200);
+    fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 8; });
+    fleet.platform().store().SetMode(mode);
+    const auto refused = fleet.Submit(0, "00000000000000a4", "ms=10", {{1}});
+    BOOST_TEST((refused == 503 || refused == 504));
+    BOOST_TEST(
+        fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 24; }));
+    fleet.platform().store().SetMode(EmulatedStore::Mode::kUp);
+    BOOST_TEST(fleet.WaitForState(1, kJob, "completed"));
+    fleet.CheckPromises();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lost_and_late_answers_of_the_store_do_no_harm) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  fleet.platform().store().LoseAnswers(2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=50", {{4}}) == 200);
+  fleet.platform().store().CarryOutLate(2, 1200);
+  BOOST_TEST(fleet.Submit(1, "00000000000000a5", "ms=50", {{4}}) == 200);
+  fleet.platform().store().DropHistory();
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  BOOST_TEST(fleet.WaitForState(1, "00000000000000a5", "completed"));
+  fleet.RunFor(1500);
+  BOOST_TEST(fleet.State(0, kJob) == "completed");
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 4);
+  BOOST_TEST(fleet.platform().StartsOf("00000000000000a5") == 4);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_at_once) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=0",
+                          {{4, 1000, 0, R"(,"long_running":true)"}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 4; });
+  BOOST_TEST(fleet.Call(1, "DELETE", std::string("/q/") + kJob).status_ == 200);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 0; }));
+  BOOST_TEST(fleet.WaitForState(0, kJob, "cancelled"));
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(lasting_tasks_come_back_however_they_end) {
+  Fleet fleet;
+  fleet.Start(1, 3);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=0",
+                          {{3, 1000, 0, R"(,"long_running":true)"}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 3; });
+  fleet.platform().worker("i-0").Restart();
+  fleet.platform().worker("i-1").Restart();
+  fleet.platform().worker("i-2").Restart();
+  BOOST_TEST(fleet.RunUntil([&] {
+    return fleet.platform().RunningOf(kJob) == 3 &&
+           fleet.platform().StartsOf(kJob) == 6;
+  }));
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_starts_whole_or_not_at_all) {
+  Fleet fleet;
+  fleet.Start(1, 3);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=600", {{1, 1000, 4, ""}}) == 200);
+  BOOST_TEST(fleet.Submit(0, "00000000000000a6", "ms=100 gang=3",
+                          {{3, 1000, 4, R"(,"gang":true)"}}) == 200);
+  BOOST_TEST(fleet.WaitForState(0, "00000000000000a6", "completed"));
+  BOOST_TEST(fleet.platform().StartsOf("00000000000000a6") == 3);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_team_stays_within_its_limit) {
+  Fleet fleet;
+  fleet.Configure(R"(["key-a"])", R"({"cpu":3000})");
+  fleet.Start(1, 3);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=150", {{7, 1000, 0, ""}}) == 200);
+  auto most = 0;
+  fleet.RunUntil([&] {
+    most = std::max(most, fleet.platform().RunningOf(kJob));
+    return fleet.platform().StartsOf(kJob) == 7;
+  });
+  BOOST_TEST(most == 3);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+}
+
+BOOST_AUTO_TEST_CASE(tasks_run_only_where_the_advice_allows_it) {
+  Fleet fleet;
+  fleet.Configure(R"(["key-a"])", "{}", true);
+  fleet.platform().SetAllowed({"i-1"});
+  fleet.Start(3, 3);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=200", {{8, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 4; });
+  BOOST_TEST(fleet.platform().worker("i-1").running_count() == 4U);
+  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawn_key_stops_working) {
+  Fleet fleet;
+  fleet.Start(2, 1);
+  fleet.Configure(R"(["key-b"])");
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.Call(0, "GET", "/q/").status_ == 401; }));
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.Call(1, "GET", "/q/").status_ == 401; }));
+  BOOST_TEST(fleet.Call(0, "GET", "/q/", "", "key-b").status_ == 200);
+  // Without the store nobody knows whether the key still holds.
+  fleet.platform().store().SetMode(EmulatedStore::Mode::kSilent);
+  BOOST_TEST(fleet.RunUntil([&] {
+    return fleet.Call(0, "GET", "/q/", "", "key-b").status_ == 503;
+  }));
+  BOOST_TEST(!fleet.Ready(0));
+}
+
+BOOST_AUTO_TEST_CASE(a_stopping_owner_hands_over_and_ends) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  const auto owner = fleet.OwnerNode();
+  BOOST_TEST(fleet.Submit(owner, kJob, "ms=900", {{8, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 8; });
+  auto is_done = false;
+  fleet.node(owner).Drain([&] { is_done = true; });
+  BOOST_TEST(fleet.RunUntil([&] {
+    return !fleet.platform().store().Get("ls/owner").empty() &&
+           fleet.OwnerNode() != owner;
+  }));
+  BOOST_TEST(fleet.WaitForState(owner, kJob, "completed"));
+  BOOST_TEST(fleet.RunUntil([&] { return is_done; }));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 8);
+  fleet.CheckPromises();
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
+  Fleet fleet;
+  fleet.Start(1, 3);
+  fleet.platform().worker("i-0").SetFailing(true);
+  for (auto i = 0; i < 8; ++i) {
+    BOOST_TEST(fleet.Submit(0, fmt::format("00000000000000d{}", i), "ms=40",
+                            {{1, 1000, 0, ""}}) == 200);
+  }
+  for (auto i = 0; i < 8; ++i) {
+    BOOST_TEST(fleet.WaitForState(0, fmt::format("00000000000000d{}", i),
+                                  "completed"));
+  }
+  fleet.CheckPromises();
+}
+
+}  // namespace lentilscale::testing
--- /dev/null
+++ b/testing/platform_emulator_stand_in.cc
@@ -0,0 +1,679 @@
+// Written from the published protocol alone, without the product's adapter, so
+// that a misreading there fails a test here. Timers tick every 10 ms.
+
+#include "testing/platform_emulator_stand_in.h"
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+#include "lentilscale/json.h"
+
+namespace lentilscale::testing {
+namespace {
+
+constexpr Millis kTickMs = 10;
+constexpr Millis kEntryPeriodMs = 300;
+constexpr Millis kMaxHoldMs = 10000;
+constexpr Millis kGangWaitMs = 3000;
+constexpr std::size_t kPageItems = 500;
+constexpr Millis kTicketValidMs = 2000;
+
+auto Listen(uv_loop_t* loop, HttpServer::Handler handler)
+    -> std::pair<std::unique_ptr<HttpServer>, std::string> {
+  auto server =
+      HttpServer::Listen(loop, "127.0.0.1", 0, {}, std::move(handler));
+  auto address = fmt::format("127.0.0.1:{}", (*server)->port());
+  return {*std::move(server), address};
+}
+
+auto ToBase64(const std::string& text) -> std::string {
+  std::string out(4 * ((text.size() + 2) / 3), '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                  reinterpret_cast<const unsigned char*>(text.data()),
+                  static_cast<int>(text.size()));
+  return out;
+}
+
+auto FromBase64(const std::string& text) -> std::string {
+  std::string out(3 * (text.size() / 4) + 3, '\0');
+  const auto length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  const auto padding = std::count(text.begin(), text.end(), '=');
+  out.resize(static_cast<std::size_t>(length - padding));
+  return out;
+}
+
+// Returns the number behind "NAME=" in a task's text, or `fallback`.
+auto Figure(const std::string& spec, const std::string& name,
+            std::int64_t fallback) -> std::int64_t {
+  const auto at = spec.find(name + "=");
+  return at == std::string::npos ? fallback
+                                 : std::atoll(spec.c_str() + at + name.size() + 1);
+}
+
+auto JobOf(const std::string& task) -> std::string {
+  return task.substr(0, task.find('.'));
+}
+
+auto StepOf(const std::string& task) -> std::string {
+  return task.substr(0, task.rfind('.'));
+}
+
+}  // namespace
+
+EmulatedStore::EmulatedStore(uv_loop_t* loop) : loop_(loop) {
+  std::tie(server_, address_) =
+      Listen(loop, [this](const HttpRequest& request,
+                          const std::shared_ptr<HttpReply>& reply) {
+        Handle(request, reply);
+      });
+  tick_ = std::make_unique<RepeatingTimer>(loop, kTickMs, [this] { Tick(); });
+}
+
+auto EmulatedStore::DropHistory() -> void {
+  changes_.clear();
+  first_kept_ = revision_ + 1;
+  for (auto& watcher : watchers_) {
+    watcher.reply_->Send(410, "{}");
+  }
+  watchers_.clear();
+}
+
+auto EmulatedStore::Put(const std::string& key, const std::string& value)
+    -> void {
+  ++revision_;
+  Write(key, value, 0);
+  AnswerWatchers();
+}
+
+auto EmulatedStore::Remove(const std::string& key) -> void {
+  ++revision_;
+  Erase(key);
+  AnswerWatchers();
+}
+
+auto EmulatedStore::Get(const std::string& key) const -> std::string {
+  const auto it = items_.find(key);
+  return it == items_.end() ? "" : it->second.value_;
+}
+
+auto EmulatedStore::Write(const std::string& key, const std::string& value,
+                          std::int64_t lease) -> void {
+  auto& item = items_[key];
+  item.value_ = value;
+  item.created_ = item.created_ == 0 ? revision_ : item.created_;
+  item.revision_ = revision_;
+  item.lease_ = lease;
+  changes_.push_back({revision_, key, false, item});
+}
+
+auto EmulatedStore::Erase(const std::string& key) -> void {
+  if (items_.erase(key) > 0) {
+    changes_.push_back({revision_, key, true, {}});
+  }
+}
+
+auto EmulatedStore::ItemToJson(const std::string& key, const Item& item) const
+    -> Json::Value {
+  Json::Value out(Json::objectValue);
+  out["key"] = key;
+  out["value"] = ToBase64(item.value_);
+  out["revision"] = Json::Int64{item.revision_};
+  out["created"] = Json::Int64{item.created_};
+  out["lease"] = Json::Int64{item.lease_};
+  return out;
+}
+
+auto EmulatedStore::Apply(const Json::Value& body)
+    -> std::pair<int, Json::Value> {
+  Json::Value answer(Json::objectValue);
+  auto holds = true;
+  for (const auto& row : body["expected_rev"]) {
+    const auto it = items_.find(row["key"].asString());
+    const auto revision = it == items_.end() ? 0 : it->second.revision_;
+    holds = holds && revision == row["revision"].asInt64();
+    if (it != items_.end()) {
+      answer["items"].append(ItemToJson(it->first, it->second));
+    }
+  }
+  if (!holds) {
+    return {412, answer};
+  }
+  for (const auto& put : body["puts"]) {
+    const auto lease = put["lease"].asInt64();
+    if (lease != 0 && !leases_.contains(lease)) {
+      return {404, Json::Value(Json::objectValue)};
+    }
+  }
+  ++revision_;
+  for (const auto& put : body["puts"]) {
+    Write(put["key"].asString(), FromBase64(put["value"].asString()),
+          put["lease"].asInt64());
+  }
+  for (const auto& key : body["deletes"]) {
+    Erase(key.asString());
+  }
+  AnswerWatchers();
+  answer = Json::Value(Json::objectValue);
+  answer["revision"] = Json::Int64{revision_};
+  return {200, answer};
+}
+
+auto EmulatedStore::HandleTransaction(const Json::Value& body,
+                                      const std::shared_ptr<HttpReply>& reply)
+    -> void {
+  if (late_transactions_ > 0) {
+    --late_transactions_;
+    unanswered_.push_back(reply);
+    RunAfter(loop_, late_ms_, [this, body] { Apply(body); });
+    return;
+  }
+  const auto [status, answer] = Apply(body);
+  if (answers_to_lose_ > 0) {
+    --answers_to_lose_;
+    unanswered_.push_back(reply);
+    return;
+  }
+  reply->Send(status, DumpJson(answer));
+}
+
+auto EmulatedStore::Handle(const HttpRequest& request,
+                           const std::shared_ptr<HttpReply>& reply) -> void {
+  if (mode_ == Mode::kRefusing) {
+    reply->Send(503, "{}");
+    return;
+  }
+  if (mode_ == Mode::kSilent) {
+    unanswered_.push_back(reply);
+    return;
+  }
+  Json::Value answer(Json::objectValue);
+  answer["at_revision"] = Json::Int64{revision_};
+  if (request.path_ == "/kv-key") {
+    const auto it = items_.find(request.QueryParam("key", ""));
+    if (it == items_.end()) {
+      reply->Send(404, DumpJson(answer));
+      return;
+    }
+    answer = ItemToJson(it->first, it->second);
+    answer["at_revision"] = Json::Int64{revision_};
+    reply->Send(200, DumpJson(answer));
+  } else if (request.path_ == "/kv-range") {
+    const auto prefix = request.QueryParam("prefix", "");
+    const auto after = request.QueryParam("after", "");
+    answer["items"] = Json::Value(Json::arrayValue);
+    answer["truncated"] = false;
+    for (const auto& [key, item] : items_) {
+      if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
+        continue;
+      }
+      if (answer["items"].size() == kPageItems) {
+        answer["truncated"] = true;
+        break;
+      }
+      answer["items"].append(ItemToJson(key, item));
+    }
+    reply->Send(200, DumpJson(answer));
+  } else if (request.path_ == "/kv-watch") {
+    const auto after = std::atoll(request.QueryParam("after", "0").c_str());
+    if (after + 1 < first_kept_) {
+      reply->Send(410, "{}");
+      return;
+    }
+    const auto wait = std::atoll(request.QueryParam("wait_ms", "0").c_str());
+    watchers_.push_back({request.QueryParam("prefix", ""), after,
+                         MonotonicMs() + wait, reply});
+    AnswerWatchers();
+  } else if (request.path_ == "/kv-txn") {
+    HandleTransaction(ParseJson(request.body_), reply);
+  } else if (request.path_ == "/kv-lease") {
+    const auto ttl = ParseJson(request.body_)["ttl_ms"].asInt64();
+    const auto id = next_lease_++;
+    leases_[id] = {ttl, MonotonicMs() + ttl};
+    Json::Value lease(Json::objectValue);
+    lease["lease"] = Json::Int64{id};
+    lease["ttl_ms"] = Json::Int64{ttl};
+    reply->Send(200, DumpJson(lease));
+  } else if (request.path_.starts_with("/kv-keep/")) {
+    const auto it = leases_.find(std::atoll(request.path_.c_str() + 9));
+    if (it == leases_.end()) {
+      reply->Send(404, "{}");
+      return;
+    }
+    it->second.ends_ms_ = MonotonicMs() + it->second.ttl_ms_;
+    reply->Send(200, fmt::format("{{\"ttl_ms\":{}}}", it->second.ttl_ms_));
+  } else if (request.path_.starts_with("/kv-lease-end/")) {
+    const auto it = leases_.find(std::atoll(request.path_.c_str() + 14));
+    if (it != leases_.end()) {
+      it->second.ends_ms_ = 0;
+    }
+    reply->Send(200, "{}");
+    Tick();
+  } else {
+    reply->Send(404, "{}");
+  }
+}
+
+auto EmulatedStore::AnswerWatchers() -> void {
+  const auto now = MonotonicMs();
+  std::vector<Watcher> open;
+  for (auto& watcher : watchers_) {
+    Json::Value answer(Json::objectValue);
+    answer["events"] = Json::Value(Json::arrayValue);
+    for (const auto& change : changes_) {
+      if (change.revision_ <= watcher.after_ ||
+          !change.key_.starts_with(watcher.prefix_)) {
+        continue;
+      }
+      auto event = ItemToJson(change.key_, change.item_);
+      if (change.is_removed_) {
+        event = Json::Value(Json::objectValue);
+        event["key"] = change.key_;
+        event["revision"] = Json::Int64{change.revision_};
+        event["removed"] = true;
+      }
+      answer["events"].append(event);
+    }
+    if (answer["events"].empty() && now < watcher.until_ms_) {
+      open.push_back(watcher);
+      continue;
+    }
+    answer["at_revision"] = Json::Int64{revision_};
+    watcher.reply_->Send(200, DumpJson(answer));
+  }
+  watchers_ = std::move(open);
+}
+
+auto EmulatedStore::Tick() -> void {
+  if (mode_ != Mode::kUp) {
+    // Leases pause while the store is down.
+    for (auto& [id, lease] : leases_) {
+      lease.ends_ms_ += kTickMs;
+    }
+    return;
+  }
+  const auto now = MonotonicMs();
+  std::set<std::int64_t> ended;
+  for (const auto& [id, lease] : leases_) {
+    if (now > lease.ends_ms_) {
+      ended.insert(id);
+    }
+  }
+  for (const auto id : ended) {
+    leases_.erase(id);
+    ++revision_;
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease_ == id) {
+        keys.push_back(key);
+      }
+    }
+    for (const auto& key : keys) {
+      Erase(key);
+    }
+  }
+  AnswerWatchers();
+}
+
+EmulatedWorker::EmulatedWorker(PlatformEmulator* platform, std::string id,
+                               std::string service, std::int64_t cpu_milli,
+                               std::int64_t accelerators)
+    : platform_(platform),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      cpu_milli_(cpu_milli),
+      accelerators_(accelerators) {
+  std::tie(server_, address_) =
+      Listen(platform->loop_, [this](const HttpRequest& request,
+                                     const std::shared_ptr<HttpReply>& reply) {
+        Handle(request, reply);
+      });
+  Restart();
+}
+
+auto EmulatedWorker::Restart() -> void {
+  running_.clear();
+  ended_.clear();
+  closed_runs_.clear();
+  token_ = 0;
+  deadline_ms_ = 0;
+  next_end_ = 1;
+  started_ms_ = MonotonicMs();
+  born_ms_ = std::max(WallMs(), born_ms_ + 1);
+  WriteEntry();
+}
+
+auto EmulatedWorker::ClockMs() const -> Millis {
+  // Some start, so that no clock agrees with another by chance.
+  return MonotonicMs() - started_ms_ + 7000;
+}
+
+auto EmulatedWorker::WriteEntry() -> void {
+  next_entry_ms_ = MonotonicMs() + kEntryPeriodMs;
+  Json::Value entry(Json::objectValue);
+  entry["service"] = service_;
+  entry["address"] = address_;
+  entry["zone"] = "here";
+  entry["version"] = "v1";
+  entry["slots"] = 8;
+  entry["state"] = is_draining_ ? "draining" : "ready";
+  entry["cold_left_ms"] = 0;
+  entry["capacity"]["cpu"] = Json::Int64{cpu_milli_};
+  entry["capacity"]["mem_mb"] = 65536;
+  entry["capacity"]["gpu"] = Json::Int64{accelerators_};
+  entry["labels"].append("a");
+  entry["labels"].append("r1");
+  entry["clock_ms"] = Json::Int64{ClockMs()};
+  entry["born"] = Json::Int64{born_ms_};
+  entry["seq_no"] = Json::Int64{++entry_number_};
+  platform_->store_.Put("servers/" + id_, DumpJson(entry));
+}
+
+auto EmulatedWorker::Handle(const HttpRequest& request,
+                            const std::shared_ptr<HttpReply>& reply) -> void {
+  if (is_cut_) {
+    unanswered_.push_back(reply);
+    return;
+  }
+  const auto body = ParseJson(request.body_);
+  if (request.path_ == "/hold") {
+    HandleHold(body, reply);
+    return;
+  }
+  const auto carry_out = [this, path = request.path_, body] {
+    return path == "/run-start"  ? HandleStart(body)
+           : path == "/run-stop" ? HandleStop(body)
+                                 : std::pair(200, Json::Value(Json::objectValue));
+  };
+  if (request.path_ == "/run-start" && late_starts_ > 0) {
+    --late_starts_;
+    unanswered_.push_back(reply);
+    RunAfter(platform_->loop_, late_ms_, [carry_out] { carry_out(); });
+    return;
+  }
+  auto [status, answer] = carry_out();
+  if (request.path_ == "/run-start" && answers_to_lose_ > 0) {
+    --answers_to_lose_;
+    unanswered_.push_back(reply);
+    return;
+  }
+  answer["clock_ms"] = Json::Int64{ClockMs()};
+  reply->Send(status, DumpJson(answer));
+}
+
+auto EmulatedWorker::HandleStart(const Json::Value& body)
+    -> std::pair<int, Json::Value> {
+  Json::Value refusal(Json::objectValue);
+  const auto task = body["task"].asString();
+  const auto run = body["run"].asInt64();
+  const auto token = body["fencing_token"].asInt64();
+  if (token < token_) {
+    refusal["reason"] = "fence";
+    return {409, refusal};
+  }
+  token_ = token;
+  if (const auto it = running_.find(task);
+      it != running_.end() && it->second.run_ == run) {
+    return {200, Json::Value(Json::objectValue)};
+  }
+  if (const auto it = closed_runs_.find(task);
+      it != closed_runs_.end() && run <= it->second) {
+    refusal["reason"] = "old";
+    return {409, refusal};
+  }
+  if (body["deadline_ms"].asInt64() <= ClockMs()) {
+    refusal["reason"] = "late";
+    return {409, refusal};
+  }
+  deadline_ms_ = std::max(deadline_ms_,
+                          std::min(body["deadline_ms"].asInt64(),
+                                   ClockMs() + kMaxHoldMs));
+  platform_->JudgeStart(*this, task);
+  const auto spec = body["spec"].asString();
+  const auto demand = platform_->demands_[JobOf(task)];
+  Run started{run,
+              demand.first,
+              demand.second,
+              Figure(spec, "ms", 100),
+              MonotonicMs(),
+              MonotonicMs(),
+              static_cast<int>(Figure(spec, "gang", 0)),
+              is_failing_ || platform_->failures_[task] < Figure(spec, "fail", 0)};
+  if (started.gang_ > 0) {
+    started.begun_ms_ = 0;
+  }
+  running_[task] = started;
+  return {200, Json::Value(Json::objectValue)};
+}
+
+auto EmulatedWorker::HandleStop(const Json::Value& body)
+    -> std::pair<int, Json::Value> {
+  const auto task = body["task"].asString();
+  const auto run = body["run"].asInt64();
+  if (body["fencing_token"].asInt64() < token_) {
+    Json::Value refusal(Json::objectValue);
+    refusal["reason"] = "fence";
+    return {409, refusal};
+  }
+  const auto it = running_.find(task);
+  if (it != running_.end() && it->second.run_ == run) {
+    EndRun(task, "stopped");
+  }
+  closed_runs_[task] = std::max(closed_runs_[task], run);
+  return {200, Json::Value(Json::objectValue)};
+}
+
+auto EmulatedWorker::Lists(std::int64_t last_seen) const -> Json::Value {
+  Json::Value answer(Json::objectValue);
+  answer["clock_ms"] = Json::Int64{ClockMs()};
+  answer["born"] = Json::Int64{born_ms_};
+  answer["running"] = Json::Value(Json::arrayValue);
+  answer["finished"] = Json::Value(Json::arrayValue);
+  for (const auto& [task, run] : running_) {
+    Json::Value row(Json::arrayValue);
+    row.append(task);
+    row.append(Json::Int64{run.run_});
+    row.append("");
+    row.append(100);
+    row.append(0);
+    answer["running"].append(row);
+  }
+  for (const auto& end : ended_) {
+    if (end.number_ > last_seen) {
+      Json::Value row(Json::arrayValue);
+      row.append(Json::Int64{end.number_});
+      row.append(end.task_);
+      row.append(Json::Int64{end.run_});
+      row.append(end.how_);
+      row.append("");
+      answer["finished"].append(row);
+    }
+  }
+  return answer;
+}
+
+auto EmulatedWorker::HandleHold(const Json::Value& body,
+                                const std::shared_ptr<HttpReply>& reply)
+    -> void {
+  const auto token = body["fencing_token"].asInt64();
+  if (token < token_) {
+    reply->Send(409, fmt::format("{{\"clock_ms\":{},\"reason\":\"fence\"}}",
+                                 ClockMs()));
+    return;
+  }
+  token_ = token;
+  const auto last_seen = body["last_seen"].asInt64();
+  std::erase_if(ended_,
+                [&](const End& end) { return end.number_ <= last_seen; });
+  if (body.isMember("deadline_ms")) {
+    deadline_ms_ = std::max(deadline_ms_,
+                            std::min(body["deadline_ms"].asInt64(),
+                                     ClockMs() + kMaxHoldMs));
+  }
+  waiting_.push_back({last_seen, MonotonicMs() + body["wait_ms"].asInt64(),
+                      reply});
+  Tick(MonotonicMs());
+}
+
+auto EmulatedWorker::EndRun(const std::string& task, const std::string& how)
+    -> void {
+  const auto it = running_.find(task);
+  const auto run = it->second.run_;
+  running_.erase(it);
+  closed_runs_[task] = std::max(closed_runs_[task], run);
+  ended_.push_back({next_end_++, task, run, how});
+  if (how == "done") {
+    platform_->done_.insert(task);
+  } else if (how == "failed") {
+    ++platform_->failures_[task];
+  } else if (how == "alone") {
+    platform_->violations_.push_back(
+        fmt::format("run {} of {} waited in vain for its gang", run, task));
+  }
+}
+
+auto EmulatedWorker::Tick(Millis now_ms) -> void {
+  std::vector<std::pair<std::string, std::string>> ends;
+  for (auto& [task, run] : running_) {
+    if (run.gang_ > 0 && run.begun_ms_ == 0) {
+      auto present = 0;
+      for (const auto& [id, other] : platform_->workers_) {
+        for (const auto& [name, member] : other->running_) {
+          present +=
+              StepOf(name) == StepOf(task) && member.run_ == run.run_ ? 1 : 0;
+        }
+      }
+      if (present >= run.gang_) {
+        run.begun_ms_ = now_ms;
+      } else if (now_ms - run.arrived_ms_ > kGangWaitMs) {
+        ends.emplace_back(task, "alone");
+      }
+    } else if (run.work_ms_ > 0 && now_ms >= run.begun_ms_ + run.work_ms_) {
+      ends.emplace_back(task, run.fails_ ? "failed" : "done");
+    }
+  }
+  if (deadline_ms_ != 0 && ClockMs() > deadline_ms_) {
+    // An end that nobody took note of before the lease lapsed does not count.
+    for (const auto& end : ended_) {
+      platform_->done_.erase(end.task_);
+    }
+    ends.clear();
+    for (const auto& [task, run] : running_) {
+      ends.emplace_back(task, "lapsed");
+    }
+  }
+  for (const auto& [task, how] : ends) {
+    EndRun(task, how);
+  }
+  if (is_cut_) {
+    return;
+  }
+  std::vector<Waiting> open;
+  for (auto& waiting : waiting_) {
+    const auto has_end =
+        !ended_.empty() && ended_.back().number_ > waiting.last_seen_;
+    if (has_end || now_ms >= waiting.until_ms_) {
+      waiting.reply_->Send(200, DumpJson(Lists(waiting.last_seen_)));
+    } else {
+      open.push_back(waiting);
+    }
+  }
+  waiting_ = std::move(open);
+  if (now_ms >= next_entry_ms_) {
+    WriteEntry();
+  }
+}
+
+PlatformEmulator::PlatformEmulator(uv_loop_t* loop)
+    : loop_(loop), store_(loop) {
+  std::tie(advice_server_, advice_address_) =
+      Listen(loop, [this](const HttpRequest& request,
+                          const std::shared_ptr<HttpReply>& reply) {
+        HandleAdvice(request, reply);
+      });
+  tick_ = std::make_unique<RepeatingTimer>(loop, kTickMs, [this] { Tick(); });
+}
+
+auto PlatformEmulator::AddWorker(const std::string& id,
+                                 const std::string& service,
+                                 std::int64_t cpu_milli,
+                                 std::int64_t accelerators)
+    -> EmulatedWorker& {
+  auto& worker = workers_[id];
+  worker = std::make_unique<EmulatedWorker>(this, id, service, cpu_milli,
+                                            accelerators);
+  return *worker;
+}
+
+auto PlatformEmulator::StartsOf(const std::string& job) const -> int {
+  const auto it = starts_by_job_.find(job);
+  return it == starts_by_job_.end() ? 0 : it->second;
+}
+
+auto PlatformEmulator::RunningOf(const std::string& job) const -> int {
+  auto count = 0;
+  for (const auto& [id, worker] : workers_) {
+    for (const auto& [task, run] : worker->running_) {
+      count += JobOf(task) == job ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+auto PlatformEmulator::HandleAdvice(const HttpRequest& request,
+                                    const std::shared_ptr<HttpReply>& reply)
+    -> void {
+  const auto body = ParseJson(request.body_);
+  Json::Value answer(Json::objectValue);
+  answer["allowed"] = Json::Value(Json::arrayValue);
+  for (const auto& id : body["workers"]) {
+    if (allowed_.empty() || allowed_.contains(id.asString())) {
+      Json::Value row(Json::arrayValue);
+      row.append(id);
+      row.append("ticket-" + id.asString());
+      answer["allowed"].append(row);
+    }
+  }
+  answer["valid_ms"] = Json::Int64{kTicketValidMs};
+  reply->Send(200, DumpJson(answer));
+}
+
+auto PlatformEmulator::JudgeStart(EmulatedWorker& worker,
+                                  const std::string& task) -> void {
+  ++starts_;
+  ++starts_by_job_[JobOf(task)];
+  const auto demand = demands_[JobOf(task)];
+  auto cpu = demand.first;
+  auto accelerators = demand.second;
+  for (const auto& [name, run] : worker.running_) {
+    cpu += run.cpu_milli_;
+    accelerators += run.accelerators_;
+  }
+  if (cpu > worker.cpu_milli_ || accelerators > worker.accelerators_) {
+    violations_.push_back(
+        fmt::format("the start of {} overfills {}", task, worker.id_));
+  }
+  if (done_.contains(task)) {
+    violations_.push_back(fmt::format("{} starts after it was done", task));
+  }
+  for (const auto& [id, other] : workers_) {
+    if (other->running_.contains(task)) {
+      violations_.push_back(
+          fmt::format("{} starts on {} while it runs on {}", task, worker.id_,
+                      id));
+    }
+  }
+}
+
+auto PlatformEmulator::Tick() -> void {
+  const auto now = MonotonicMs();
+  for (auto& [id, worker] : workers_) {
+    worker->Tick(now);
+  }
+}
+
+}  // namespace lentilscale::testing
--- /dev/null
+++ b/testing/platform_emulator_stand_in.h
@@ -0,0 +1,265 @@
+// The users' platform in one process, for tests: store, workers and advice
+// service speak the published protocol over HTTP on loopback.
+//
+// Workers run tasks as timers. A task's text says what it does:
+//
+//   "ms=200"            is done after 200 ms
+//   "ms=50 fail=2"      fails its first two runs
+//   "ms=0"              runs until it is stopped
+//   "ms=100 gang=3"     works once three members of its run are there
+//
+// What the workers see is judged here, independently of what the product
+// claims; violations() lists each broken promise as a sentence.
+
+#ifndef LENTILSCALE_TESTING_PLATFORM_EMULATOR_STAND_IN_H_
+#define LENTILSCALE_TESTING_PLATFORM_EMULATOR_STAND_IN_H_
+
+#include <json/json.h>
+#include <uv.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lentilscale/clock.h"
+#include "lentilscale/http_server.h"
+#include "lentilscale/timer.h"
+
+namespace lentilscale::testing {
+
+// The platform's key-value store.
+class EmulatedStore {
+ public:
+  enum class Mode { kUp, kRefusing, kSilent };
+
+  explicit EmulatedStore(uv_loop_t* loop);
+
+  auto address() const -> const std::string& { return address_; }
+  auto SetMode(Mode mode) -> void { mode_ = mode; }
+  // The next `count` transactions are carried out and not answered.
+  auto LoseAnswers(int count) -> void { answers_to_lose_ = count; }
+  // The next `count` transactions are carried out `delay_ms` later and not
+  // answered.
+  auto CarryOutLate(int count, Millis delay_ms) -> void {
+    late_transactions_ = count;
+    late_ms_ = delay_ms;
+  }
+  // Forgets all history, so that watches must read anew.
+  auto DropHistory() -> void;
+
+  // Writes as the operator or a worker does, whatever the mode.
+  auto Put(const std::string& key, const std::string& value) -> void;
+  auto Remove(const std::string& key) -> void;
+  // Returns the value, or an empty text.
+  auto Get(const std::string& key) const -> std::string;
+
+ private:
+  struct Item {
+    std::string value_;
+    std::int64_t revision_ = 0;
+    std::int64_t created_ = 0;
+    std::int64_t lease_ = 0;
+  };
+  struct Change {
+    std::int64_t revision_;
+    std::string key_;
+    bool is_removed_;
+    Item item_;
+  };
+  struct Watcher {
+    std::string prefix_;
+    std::int64_t after_;
+    Millis until_ms_;
+    std::shared_ptr<HttpReply> reply_;
+  };
+  struct Lease {
+    Millis ttl_ms_;
+    Millis ends_ms_;
+  };
+
+  auto Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpReply>& reply) -> void;
+  auto HandleTransaction(const Json::Value& body,
+                         const std::shared_ptr<HttpReply>& reply) -> void;
+  // Returns the status and the answer.
+  auto Apply(const Json::Value& body) -> std::pair<int, Json::Value>;
+  auto Write(const std::string& key, const std::string& value,
+             std::int64_t lease) -> void;
+  auto Erase(const std::string& key) -> void;
+  auto ItemToJson(const std::string& key, const Item& item) const
+      -> Json::Value;
+  auto AnswerWatchers() -> void;
+  auto Tick() -> void;
+
+  uv_loop_t* loop_;
+  std::string address_;
+  Mode mode_ = Mode::kUp;
+  int answers_to_lose_ = 0;
+  int late_transactions_ = 0;
+  Millis late_ms_ = 0;
+  std::int64_t revision_ = 1;
+  std::int64_t first_kept_ = 1;
+  std::int64_t next_lease_ = 100;
+  std::map<std::string, Item> items_;
+  std::vector<Change> changes_;
+  std::vector<Watcher> watchers_;
+  std::map<std::int64_t, Lease> leases_;
+  // Requests that never get an answer.
+  std::vector<std::shared_ptr<HttpReply>> unanswered_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<RepeatingTimer> tick_;
+};
+
+class PlatformEmulator;
+
+// One worker.
+class EmulatedWorker {
+ public:
+  EmulatedWorker(PlatformEmulator* platform, std::string id,
+                 std::string service, std::int64_t cpu_milli,
+                 std::int64_t accelerators);
+
+  // Ends all that runs and forgets everything; answers again as a new life.
+  auto Restart() -> void;
+  // Answers nothing and writes no entry, but runs on.
+  auto SetCut(bool is_cut) -> void { is_cut_ = is_cut; }
+  auto SetDraining() -> void { is_draining_ = true; }
+  // Leaves the next `count` starts unanswered and carries them out later.
+  auto CarryOutStartsLate(int count, Millis delay_ms) -> void {
+    late_starts_ = count;
+    late_ms_ = delay_ms;
+  }
+  // Carries out the next `count` starts without an answer.
+  auto LoseStartAnswers(int count) -> void { answers_to_lose_ = count; }
+  // All that is started from now on fails.
+  auto SetFailing(bool is_failing) -> void { is_failing_ = is_failing; }
+
+  auto id() const -> const std::string& { return id_; }
+  auto running_count() const -> std::size_t { return running_.size(); }
+
+ private:
+  friend class PlatformEmulator;
+  struct Run {
+    std::int64_t run_;
+    std::int64_t cpu_milli_;
+    std::int64_t accelerators_;
+    Millis work_ms_;
+    // 0 while a gang waits for its members.
+    Millis begun_ms_;
+    Millis arrived_ms_;
+    int gang_;
+    bool fails_;
+  };
+  struct End {
+    std::int64_t number_;
+    std::string task_;
+    std::int64_t run_;
+    std::string how_;
+  };
+
+  auto Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpReply>& reply) -> void;
+  auto HandleStart(const Json::Value& body) -> std::pair<int, Json::Value>;
+  auto HandleStop(const Json::Value& body) -> std::pair<int, Json::Value>;
+  auto HandleHold(const Json::Value& body,
+                  const std::shared_ptr<HttpReply>& reply) -> void;
+  auto Lists(std::int64_t last_seen) const -> Json::Value;
+  auto EndRun(const std::string& task, const std::string& how) -> void;
+  auto Tick(Millis now_ms) -> void;
+  auto ClockMs() const -> Millis;
+  auto WriteEntry() -> void;
+
+  PlatformEmulator* platform_;
+  std::string id_;
+  std::string service_;
+  std::string address_;
+  std::int64_t cpu_milli_;
+  std::int64_t accelerators_;
+  std::int64_t born_ms_ = 0;
+  Millis started_ms_ = 0;
+  bool is_cut_ = false;
+  bool is_draining_ = false;
+  bool is_failing_ = false;
+  int late_starts_ = 0;
+  Millis late_ms_ = 0;
+  int answers_to_lose_ = 0;
+  std::int64_t token_ = 0;
+  Millis deadline_ms_ = 0;
+  std::int64_t next_end_ = 1;
+  std::int64_t entry_number_ = 0;
+  Millis next_entry_ms_ = 0;
+  std::map<std::string, Run> running_;
+  std::vector<End> ended_;
+  // The highest run that was stopped or ended, by task.
+  std::map<std::string, std::int64_t> closed_runs_;
+  struct Waiting {
+    std::int64_t last_seen_;
+    Millis until_ms_;
+    std::shared_ptr<HttpReply> reply_;
+  };
+  std::vector<Waiting> waiting_;
+  std::vector<std::shared_ptr<HttpReply>> unanswered_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+// Store, workers and advice service together, with the judge.
+class PlatformEmulator {
+ public:
+  explicit PlatformEmulator(uv_loop_t* loop);
+
+  auto store() -> EmulatedStore& { return store_; }
+  auto advice_address() const -> const std::string& { return advice_address_; }
+  auto AddWorker(const std::string& id, const std::string& service,
+                 std::int64_t cpu_milli, std::int64_t accelerators)
+      -> EmulatedWorker&;
+  auto worker(const std::string& id) -> EmulatedWorker& {
+    return *workers_.at(id);
+  }
+  // Registers what a task takes, by the job's id; starts are judged by it.
+  auto SetDemand(const std::string& job, std::int64_t cpu_milli,
+                 std::int64_t accelerators) -> void {
+    demands_[job] = {cpu_milli, accelerators};
+  }
+  // Workers that the advice service allows; all, if none are named.
+  auto SetAllowed(std::set<std::string> ids) -> void {
+    allowed_ = std::move(ids);
+  }
+
+  auto violations() const -> const std::vector<std::string>& {
+    return violations_;
+  }
+  auto starts() const -> int { return starts_; }
+  auto StartsOf(const std::string& job) const -> int;
+  // Returns the number of the job's runs that are going on now.
+  auto RunningOf(const std::string& job) const -> int;
+
+ private:
+  friend class EmulatedWorker;
+  auto HandleAdvice(const HttpRequest& request,
+                    const std::shared_ptr<HttpReply>& reply) -> void;
+  auto JudgeStart(EmulatedWorker& worker, const std::string& task) -> void;
+  auto Tick() -> void;
+
+  uv_loop_t* loop_;
+  EmulatedStore store_;
+  std::string advice_address_;
+  std::map<std::string, std::unique_ptr<EmulatedWorker>> workers_;
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> demands_;
+  std::set<std::string> allowed_;
+  std::set<std::string> done_;
+  std::map<std::string, int> failures_;
+  std::map<std::string, int> starts_by_job_;
+  std::vector<std::string> violations_;
+  int starts_ = 0;
+  std::unique_ptr<HttpServer> advice_server_;
+  std::unique_ptr<RepeatingTimer> tick_;
+};
+
+}  // namespace lentilscale::testing
+
+#endif  // LENTILSCALE_TESTING_PLATFORM_EMULATOR_STAND_IN_H_
