Keep workers free for gangs that wait

Change: the allowed workers that have room first take no less urgent task meanwhile; a third of a service at most.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -171,6 +171,8 @@
                   const std::string& avoid, Millis now_ms) -> FleetWorker*;
   auto HasTeamRoom(const std::string& team, const Resources& demand) const
       -> bool;
+  auto KeepRoomForGang(StepRun& step, const Queue& queue, Millis now_ms)
+      -> void;
   auto AskForWishes(Millis now_ms) -> void;
   auto AddAllWorkers(const StepRun& step, const Queue& queue,
                      std::vector<std::string>& asked) const -> void;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -36,6 +36,8 @@
 constexpr double kShortAdviceMs = 60;
 // Run numbers of successive owners do not overlap.
 constexpr std::int64_t kRunsPerEpoch = 1000;
+// One in this many workers of a service is kept free for waiting gangs at most.
+constexpr std::size_t kKeptDivisor = 3;
 // Scores: a worker near the data, or without tasks that would be disturbed,
 // goes before any difference in room.
 constexpr double kNearBonus = 10;
@@ -66,6 +68,9 @@
   for (const auto& [key, step] : waiting_) {
     steps.push_back(step);
   }
+  for (auto& [id, worker] : workers_) {
+    worker.kept_for_.clear();
+  }
   for (auto* step : steps) {
     const auto* queue = PolicyOf(step->job_->record().queue_);
     if (queue == nullptr || step->job_->IsEnded()) {
@@ -262,6 +267,7 @@
     --step.per_worker_[worker->entry_.id_];
   }
   if (static_cast<int>(chosen.size()) < count) {
+    KeepRoomForGang(step, queue, now_ms);
     wishes_.push_back({&step, count});
     return false;
   }
@@ -275,6 +281,54 @@
   return true;
 }
 
+// A gang that needs much of several workers at once would wait for ever behind
+// smaller tasks that fill each gap. The allowed workers that will have room for
+// it first take no less urgent tasks until it is placed.
+auto Dispatcher::KeepRoomForGang(StepRun& step, const Queue& queue,
+                                 Millis now_ms) -> void {
+  if (queue.advice_.has_value() && step.allowed_.empty()) {
+    return;
+  }
+  struct Option {
+    FleetWorker* worker_;
+    Millis free_in_ms_;
+  };
+  const auto demand = CapacityDemand(*step.step_);
+  std::vector<Option> options;
+  std::size_t in_service = 0;
+  std::size_t kept = 0;
+  for (auto& [id, worker] : workers_) {
+    if (worker.entry_.service_ != queue.service_) {
+      continue;
+    }
+    ++in_service;
+    kept += worker.kept_for_.empty() ? 0 : 1;
+    const auto allowed = step.allowed_.find(id);
+    if (worker.IsUsable(now_ms) && worker.kept_for_.empty() &&
+        demand.FitsIn(worker.entry_.capacity_) &&
+        (!queue.advice_.has_value() ||
+         (allowed != step.allowed_.end() && allowed->second)) &&
+        worker.HasLabel(step.step_->required_label_)) {
+      options.push_back({&worker, worker.RoomInMs(demand, now_ms)});
+    }
+  }
+  std::sort(options.begin(), options.end(),
+            [](const Option& a, const Option& b) {
+              return a.free_in_ms_ < b.free_in_ms_;
+            });
+  const auto most = std::max<std::size_t>(1, in_service / kKeptDivisor);
+  auto members = static_cast<int>(step.tasks_.size());
+  for (const auto& option : options) {
+    if (members <= 0 || kept >= most) {
+      break;
+    }
+    option.worker_->kept_for_ = step.Name();
+    option.worker_->kept_priority_ = queue.priority_;
+    ++kept;
+    --members;
+  }
+}
+
 auto Dispatcher::AskAdvice(StepRun& step, const Queue& queue, int needed,
                            Millis now_ms) -> void {
   if (!queue.advice_.has_value() || step.is_asking_advice_ ||
@@ -448,6 +502,7 @@
   placed.tail_target_ms_ = step.step_->tail_target_ms_;
   placed.fills_ = step.step_->fills_;
   placed.is_long_running_ = step.step_->is_long_running_;
+  placed.estimate_ms_ = step.step_->estimate_ms_;
   placed.started_ms_ = now_ms;
   worker.Add(placed);
   team_used_[placed.team_] += placed.team_demand_;
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -380,6 +380,7 @@
     run.fills_ = shape->fills_;
     run.tail_target_ms_ = shape->tail_target_ms_;
     run.is_long_running_ = shape->is_long_running_;
+    run.estimate_ms_ = shape->estimate_ms_;
     team_used_[run.team_] += run.team_demand_;
   }
   if (task == nullptr) {
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -12,6 +12,8 @@
 constexpr double kClockRate = 0.98;
 // Rounding and the delivery of the answer that gave the clock.
 constexpr Millis kLapseMarginMs = 50;
+// Later than any run that has an end.
+constexpr Millis kNeverMs = 1000000000000;
 // Calls without an answer after which a worker gets no new tasks.
 constexpr int kSilentCalls = 1;
 
@@ -76,6 +78,10 @@
 auto FleetWorker::FreeFor(const std::string& step_name, int priority) const
     -> Resources {
   auto free = entry_.capacity_;
+  if (!kept_for_.empty() && kept_for_ != step_name &&
+      priority >= kept_priority_) {
+    return {0, -1, -1, -1};
+  }
   free -= used_;
   for (const auto& [name, reservation] : reservations_) {
     if (name != step_name && reservation.priority_ <= priority) {
@@ -85,6 +91,29 @@
   return free;
 }
 
+auto FleetWorker::RoomInMs(const Resources& demand, Millis now_ms) const
+    -> Millis {
+  auto free = entry_.capacity_;
+  free -= used_;
+  if (demand.FitsIn(free)) {
+    return 0;
+  }
+  std::multimap<Millis, const PlacedRun*> by_end;
+  for (const auto& [key, run] : runs_) {
+    const auto end = run.is_long_running_
+                         ? kNeverMs
+                         : std::max(now_ms, run.started_ms_ + run.estimate_ms_);
+    by_end.emplace(end, &run);
+  }
+  for (const auto& [end, run] : by_end) {
+    free += run->demand_;
+    if (demand.FitsIn(free)) {
+      return end - now_ms;
+    }
+  }
+  return kNeverMs;
+}
+
 auto FleetWorker::HasLabel(const std::string& label) const -> bool {
   return label.empty() || std::find(entry_.labels_.begin(),
                                     entry_.labels_.end(),
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -44,6 +44,8 @@
   Millis next_stop_ms_ = 0;
   bool is_stop_sent_ = false;
   Millis started_ms_ = 0;
+  // How long the run should take; 0 if unknown.
+  Millis estimate_ms_ = 0;
   // Share of the processors that the run uses, as reported.
   int percent_ = 100;
   // Share that it was told to use.
@@ -100,6 +102,10 @@
   Resources used_;
   // By the step's name.
   std::map<std::string, Reservation> reservations_;
+  // A gang that waits for the room here, by its step's name; only more urgent
+  // steps may use the worker meanwhile.
+  std::string kept_for_;
+  int kept_priority_ = 0;
   int filling_ = 0;
   int serving_ = 0;
 
@@ -119,6 +125,8 @@
   // Returns what is free for the step named `step_name` of the given priority:
   // room that is reserved for equal or more urgent steps is not.
   auto FreeFor(const std::string& step_name, int priority) const -> Resources;
+  // Returns the time until `demand` should fit, by the estimates of what runs.
+  auto RoomInMs(const Resources& demand, Millis now_ms) const -> Millis;
   auto HasLabel(const std::string& label) const -> bool;
   // Returns the rack, the worker's second label; empty if it has none.
   auto Rack() const -> std::string;
