Shorten take-overs and keep acknowledging while the store is slow

Change: up to four progress writes under way, versions per key in place of generations; reads of a new owner and of a claim go out together; hand-over at once; owners near the store; owner lease 1.5 s; a silent store refuses new jobs at once (503) instead of ending with 504.

--- a/fleet/config_feed.cc
+++ b/fleet/config_feed.cc
@@ -48,6 +48,7 @@
       return;
     }
     confirmed_ms_ = std::max(confirmed_ms_, result.sent_ms_);
+    answered_ms_ = std::max(answered_ms_, result.sent_ms_);
     watch_revision_ = result.revision_;
     Take(result.records_[0]);
     Watch();
@@ -68,6 +69,7 @@
                     RetryRead();
                     return;
                   }
+                  answered_ms_ = std::max(answered_ms_, result.sent_ms_);
                   for (const auto& record : result.records_) {
                     if (record.key_ == key_ && !record.is_removed_) {
                       Take(record);
--- a/fleet/config_feed.h
+++ b/fleet/config_feed.h
@@ -40,6 +40,8 @@
   }
   // Returns the time since the configuration was surely the newest.
   auto AgeMs() const -> Millis;
+  // Returns when the latest call that the store answered was sent.
+  auto ConfirmedMs() const -> Millis { return answered_ms_; }
 
  private:
   auto ReadAll() -> void;
@@ -54,6 +56,7 @@
   std::shared_ptr<const FleetConfig> current_;
   std::int64_t watch_revision_ = 0;
   Millis confirmed_ms_ = 0;
+  Millis answered_ms_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -47,27 +47,7 @@
       recorder_(
           loop, store, rights.owner_revision_,
           {[this](const std::string& key) { return TextToStore(key); },
-           [this](const std::string& key) -> std::int64_t {
-             if (key == kWorkersKey) {
-               return workers_revision_;
-             }
-             auto* job =
-                 FindJob(key.substr(std::string(kProgressPrefix).size()));
-             return job == nullptr ? 0 : job->progress_revision_;
-           },
-           [this](const std::string& key, std::int64_t revision) {
-             if (key == kWorkersKey) {
-               workers_revision_ = revision;
-             } else if (auto* job = FindJob(
-                            key.substr(std::string(kProgressPrefix).size()));
-                        job != nullptr) {
-               job->progress_revision_ = revision;
-             }
-           },
-           [this](std::uint64_t generation,
-                  const std::vector<std::string>& keys) {
-             OnDurable(generation, keys);
-           },
+           [this](const std::vector<std::string>& keys) { OnDurable(keys); },
            [this] { hooks_.step_down_("another instance owns the fleet"); }}) {
   tick_ = std::make_unique<RepeatingTimer>(loop, kTickMs, [this] { Tick(); });
   ReadState();
@@ -91,56 +71,55 @@
   });
 }
 
+// The reads go out together: nobody else writes progress any more, and a job
+// that is accepted meanwhile comes by the watch.
 auto Dispatcher::ReadState() -> void {
-  store_->ReadPrefix(kInboxPrefix, [this, alive = is_alive_](
-                                       const ReadResult& inbox) {
-    if (!*alive) {
-      return;
-    }
-    if (inbox.status_ != StoreStatus::kOk) {
-      RetryReadState();
-      return;
-    }
-    inbox_ = inbox.records_;
-    inbox_revision_ = inbox.revision_;
-    store_->ReadPrefix(kProgressPrefix, [this,
-                                         alive](const ReadResult& progress) {
+  auto reads = std::make_shared<StateReads>();
+  const auto take = [this, reads, alive = is_alive_](ReadResult StateReads::*part) {
+    return [this, reads, alive, part](const ReadResult& result) {
       if (!*alive) {
         return;
       }
-      if (progress.status_ != StoreStatus::kOk) {
-        RetryReadState();
-        return;
+      (*reads).*part = result;
+      if (--reads->open_ == 0) {
+        TakeStateReads(*reads);
       }
-      progress_.clear();
-      for (const auto& record : progress.records_) {
-        progress_[record.key_] = record;
+    };
+  };
+  store_->ReadPrefix(kInboxPrefix, take(&StateReads::inbox_));
+  store_->ReadPrefix(kProgressPrefix, take(&StateReads::progress_));
+  store_->Read(kWorkersKey, take(&StateReads::workers_));
+}
+
+auto Dispatcher::TakeStateReads(const StateReads& reads) -> void {
+  const auto is_read = [](const ReadResult& result) {
+    return result.status_ == StoreStatus::kOk ||
+           result.status_ == StoreStatus::kAbsent;
+  };
+  if (!is_read(reads.inbox_) || !is_read(reads.progress_) ||
+      !is_read(reads.workers_)) {
+    RetryReadState();
+    return;
+  }
+  inbox_ = reads.inbox_.records_;
+  inbox_revision_ = reads.inbox_.revision_;
+  for (const auto& record : reads.progress_.records_) {
+    progress_[record.key_] = record;
+  }
+  if (!reads.workers_.records_.empty()) {
+    const auto& record = reads.workers_.records_[0];
+    recorder_.SetRevision(kWorkersKey, record.revision_);
+    try {
+      const auto body = ParseJson(record.value_);
+      for (const auto& id : body["workers"].getMemberNames()) {
+        unclaimed_[id] = body["workers"][id].asString();
       }
-      store_->Read(kWorkersKey, [this, alive](const ReadResult& workers) {
-        if (!*alive) {
-          return;
-        }
-        if (workers.status_ != StoreStatus::kOk &&
-            workers.status_ != StoreStatus::kAbsent) {
-          RetryReadState();
-          return;
-        }
-        if (!workers.records_.empty()) {
-          workers_revision_ = workers.records_[0].revision_;
-          try {
-            const auto body = ParseJson(workers.records_[0].value_);
-            for (const auto& id : body["workers"].getMemberNames()) {
-              unclaimed_[id] = body["workers"][id].asString();
-            }
-          } catch (const Error& e) {
-            LogEvent(Event::kBadRecord,
-                     {{"key", kWorkersKey}, {"problem", e.what()}});
-          }
-        }
-        OnStateRead();
-      });
-    });
-  });
+    } catch (const Error& e) {
+      LogEvent(Event::kBadRecord,
+               {{"key", kWorkersKey}, {"problem", e.what()}});
+    }
+  }
+  OnStateRead();
 }
 
 auto Dispatcher::OnStateRead() -> void {
@@ -244,7 +223,7 @@
     revision = it->second.revision_;
   }
   auto job = std::make_unique<Job>(record, progress, is_recovered);
-  job->progress_revision_ = revision;
+  recorder_.SetRevision(ProgressKey(record.id_), revision);
   if (job->IsEnded()) {
     job->is_end_recorded_ = true;
     job->ended_ms_ = BootMs();
@@ -298,7 +277,7 @@
       }
     }
   }
-  MarkDirty(job.record().id_);
+  job.end_version_ = MarkDirty(job.record().id_);
 }
 
 auto Dispatcher::StateOf(const std::string& id) const
@@ -364,8 +343,8 @@
   AddWaiting(step);
 }
 
-auto Dispatcher::MarkDirty(const std::string& job_id) -> void {
-  recorder_.MarkDirty(ProgressKey(job_id));
+auto Dispatcher::MarkDirty(const std::string& job_id) -> std::uint64_t {
+  return recorder_.MarkDirty(ProgressKey(job_id));
 }
 
 auto Dispatcher::TextToStore(const std::string& key) -> std::string {
@@ -384,38 +363,44 @@
   return job == nullptr ? "{}" : EncodeProgress(job->Progress());
 }
 
-auto Dispatcher::OnDurable(std::uint64_t generation,
-                           const std::vector<std::string>& keys) -> void {
+auto Dispatcher::OnDurable(const std::vector<std::string>& keys) -> void {
   const auto now = BootMs();
   for (const auto& key : keys) {
     if (key == kWorkersKey) {
       for (auto& [id, worker] : workers_) {
-        worker.is_recorded_ |= worker.listed_generation_ <= generation;
+        worker.is_recorded_ |=
+            recorder_.IsDurable(kWorkersKey, worker.listed_version_);
       }
       RequestSchedule();
       continue;
     }
     auto* job = FindJob(key.substr(std::string(kProgressPrefix).size()));
-    if (job != nullptr && job->IsEnded() && !job->is_end_recorded_) {
+    if (job != nullptr && !job->is_end_recorded_ && job->IsEnded() &&
+        recorder_.IsDurable(key, job->end_version_)) {
       job->is_end_recorded_ = true;
       job->ended_ms_ = now;
     }
   }
   for (auto& [id, worker] : workers_) {
-    auto is_advanced = false;
-    while (!worker.unrecorded_.empty() &&
-           worker.unrecorded_.front().second <= generation) {
-      worker.recorded_ = worker.unrecorded_.front().first;
-      worker.unrecorded_.pop_front();
-      is_advanced = true;
-    }
-    if (is_advanced && worker.unrecorded_.empty()) {
+    if (!worker.unrecorded_.empty() && Acknowledge(worker)) {
       worker.next_hold_ms_ = now;
       PumpHold(worker, now);
     }
   }
 }
 
+auto Dispatcher::Acknowledge(FleetWorker& worker) -> bool {
+  while (!worker.unrecorded_.empty()) {
+    const auto& end = worker.unrecorded_.front();
+    if (!end.key_.empty() && !recorder_.IsDurable(end.key_, end.version_)) {
+      return false;
+    }
+    worker.recorded_ = end.number_;
+    worker.unrecorded_.pop_front();
+  }
+  return true;
+}
+
 auto Dispatcher::CreateDueOccurrences() -> void {
   const auto wall = WallMs();
   const auto now = BootMs();
@@ -453,6 +438,7 @@
     }
     for (const auto& id : dropped) {
       jobs_.erase(id);
+      recorder_.Forget(ProgressKey(id));
     }
   });
 }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -93,8 +93,6 @@
   // nothing while the jobs are still being read.
   auto Pending(const std::string& queue) const -> std::optional<std::int64_t>;
 
-  // Returns true if all ends that were taken in are recorded.
-  auto IsRecorded() const -> bool { return recorder_.IsIdle(); }
   auto token() const -> std::int64_t { return rights_.epoch_; }
   auto worker_count() const -> std::size_t { return workers_.size(); }
   auto running_count() const -> std::size_t;
@@ -106,7 +104,16 @@
       std::tuple<int, Millis, std::string, std::int64_t, int>;
 
   // dispatcher.cc
+  // What a new owner reads from the store.
+  struct StateReads {
+    ReadResult inbox_;
+    ReadResult progress_;
+    ReadResult workers_;
+    int open_ = 3;
+  };
+
   auto ReadState() -> void;
+  auto TakeStateReads(const StateReads& reads) -> void;
   auto RetryReadState() -> void;
   auto OnStateRead() -> void;
   auto WatchInbox() -> void;
@@ -115,10 +122,11 @@
   auto Tick() -> void;
   auto CreateDueOccurrences() -> void;
   auto OnJobEnded(Job& job) -> void;
-  auto MarkDirty(const std::string& job_id) -> void;
+  auto MarkDirty(const std::string& job_id) -> std::uint64_t;
   auto TextToStore(const std::string& key) -> std::string;
-  auto OnDurable(std::uint64_t generation, const std::vector<std::string>& keys)
-      -> void;
+  auto OnDurable(const std::vector<std::string>& keys) -> void;
+  // Moves the acknowledged ends on; returns true if all are recorded.
+  auto Acknowledge(FleetWorker& worker) -> bool;
   auto DropOldJobs(Millis now_ms) -> void;
   auto FindJob(const std::string& id) -> Job*;
   // Returns the queue's policy as configured now or, if the queue was removed,
@@ -220,7 +228,6 @@
   // Workers of the previous owner by id, with their service, that have not
   // been claimed yet.
   std::map<std::string, std::string> unclaimed_;
-  std::int64_t workers_revision_ = 0;
   // Observed share of workers that the advice service allows, by queue.
   std::map<std::string, double> allowed_share_;
 
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -26,7 +26,7 @@
 // Wait on workers where filling tasks disturb serving ones.
 constexpr Millis kPacedHoldWaitMs = 500;
 // Time between looks while ends wait to be recorded.
-constexpr Millis kUnrecordedHoldMs = 400;
+constexpr Millis kUnrecordedHoldMs = 150;
 constexpr Millis kHoldRetryMs = 150;
 constexpr Millis kMaxHoldRetryMs = 1000;
 constexpr Millis kStopRetryMs = 300;
@@ -105,8 +105,7 @@
     worker.entry_revision_ = revision;
     worker.entry_changed_ms_ = now_ms;
     worker.next_hold_ms_ = now_ms;
-    worker.listed_generation_ = recorder_.generation();
-    recorder_.MarkDirty(kWorkersKey);
+    worker.listed_version_ = recorder_.MarkDirty(kWorkersKey);
     LogEvent(Event::kFleetWorkerListed,
              {{"worker", entry.id_},
               {"service", entry.service_},
@@ -236,17 +235,15 @@
             {"end", RunEndName(end.end_)},
             {"worker", worker.entry_.id_},
             {"number", std::to_string(end.number_)}});
+  UnrecordedEnd unrecorded{end.number_, "", 0};
   if (job != nullptr && !job->IsEnded() && step != nullptr &&
       job->FindTask(*id) != nullptr) {
     ApplyEnd(worker, *job, *step, *id, end, now_ms);
-    MarkDirty(job->record().id_);
-  }
-  worker.unrecorded_.emplace_back(end.number_, recorder_.generation());
-  if (recorder_.IsIdle()) {
-    // Nothing has to be recorded for this end.
-    worker.recorded_ = end.number_;
-    worker.unrecorded_.clear();
+    unrecorded.key_ = ProgressKey(id->job_);
+    unrecorded.version_ = MarkDirty(id->job_);
   }
+  worker.unrecorded_.push_back(unrecorded);
+  Acknowledge(worker);
 }
 
 auto Dispatcher::ApplyEnd(FleetWorker& worker, Job& job, StepRun& step,
--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -22,7 +22,9 @@
 // The lease counts as ended this much before the store ends it.
 constexpr Millis kRightsMarginMs = 150;
 // Spread of claims, so that one instance is usually alone.
-constexpr Millis kClaimSpreadMs = 120;
+constexpr Millis kClaimSpreadMs = 40;
+constexpr Millis kDelayPerRoundTrip = 5;
+constexpr Millis kMaxDistanceDelayMs = 150;
 // A peer's report counts for this long.
 constexpr Millis kReportValidMs = 1800;
 
@@ -93,6 +95,7 @@
     NoteAnswer(result.status_, result.sent_ms_);
     if (result.status_ == StoreStatus::kOk ||
         result.status_ == StoreStatus::kAbsent) {
+      round_trip_ms_ = BootMs() - result.sent_ms_;
       watch_revision_ = result.revision_;
       Record record;
       record.is_removed_ = true;
@@ -175,9 +178,12 @@
   }
 }
 
+// Instances near the store claim first: every record of progress and every
+// renewal takes the owner's way to it.
 auto Election::ClaimDelayMs() const -> Millis {
   return static_cast<Millis>(std::hash<std::string>{}(options_.instance_) %
-                             kClaimSpreadMs);
+                             kClaimSpreadMs) +
+         std::min(kMaxDistanceDelayMs, kDelayPerRoundTrip * round_trip_ms_);
 }
 
 auto Election::NoteOwnerRefuses() -> void {
@@ -205,45 +211,58 @@
     is_claiming_ = false;
     return;
   }
-  store_->GrantLease(options_.ttl_ms_, [this, alive = is_alive_](
+  // Both answers are needed; asked together they cost one round trip.
+  struct Answers {
+    LeaseResult lease_;
+    ReadResult epoch_;
+    int open_ = 2;
+  };
+  auto answers = std::make_shared<Answers>();
+  const auto on_both = [this, answers] {
+    const auto& epoch = answers->epoch_;
+    const auto is_epoch_read = epoch.status_ == StoreStatus::kOk ||
+                               epoch.status_ == StoreStatus::kAbsent;
+    if (answers->lease_.status_ != StoreStatus::kOk || !is_epoch_read ||
+        is_retired_) {
+      is_claiming_ = false;
+      return;
+    }
+    std::int64_t number = 0;
+    std::int64_t revision = 0;
+    if (!epoch.records_.empty()) {
+      number = std::stoll(epoch.records_[0].value_);
+      revision = epoch.records_[0].revision_;
+    }
+    CommitClaim(answers->lease_, number + 1, revision);
+  };
+  store_->GrantLease(options_.ttl_ms_, [this, answers, on_both,
+                                        alive = is_alive_](
                                            const LeaseResult& result) {
     if (!*alive) {
       return;
     }
     NoteAnswer(result.status_, result.sent_ms_);
-    if (result.status_ != StoreStatus::kOk || is_retired_) {
-      is_claiming_ = false;
-      return;
+    answers->lease_ = result;
+    if (--answers->open_ == 0) {
+      on_both();
     }
-    ReadEpochAndClaim(result.lease_, result.sent_ms_);
   });
-}
-
-auto Election::ReadEpochAndClaim(std::int64_t lease, Millis lease_sent_ms)
-    -> void {
-  store_->Read(kEpochKey, [this, lease, lease_sent_ms,
+  store_->Read(kEpochKey, [answers, on_both,
                            alive = is_alive_](const ReadResult& result) {
     if (!*alive) {
       return;
     }
-    if (result.status_ != StoreStatus::kOk &&
-        result.status_ != StoreStatus::kAbsent) {
-      is_claiming_ = false;
-      return;
-    }
-    std::int64_t epoch = 0;
-    std::int64_t revision = 0;
-    if (!result.records_.empty()) {
-      epoch = std::stoll(result.records_[0].value_);
-      revision = result.records_[0].revision_;
+    answers->epoch_ = result;
+    if (--answers->open_ == 0) {
+      on_both();
     }
-    CommitClaim(lease, lease_sent_ms, epoch + 1, revision);
   });
 }
 
-auto Election::CommitClaim(std::int64_t lease, Millis lease_sent_ms,
-                           std::int64_t epoch, std::int64_t epoch_revision)
-    -> void {
+auto Election::CommitClaim(const LeaseResult& granted, std::int64_t epoch,
+                           std::int64_t epoch_revision) -> void {
+  const auto lease = granted.lease_;
+  const auto lease_sent_ms = granted.sent_ms_;
   Json::Value body(Json::objectValue);
   body["instance"] = options_.instance_;
   body["address"] = options_.address_;
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -41,7 +41,7 @@
   struct Options {
     std::string instance_;
     std::string address_;
-    Millis ttl_ms_ = 2000;
+    Millis ttl_ms_ = 1500;
   };
   struct Hooks {
     std::function<void(const DispatchRights&)> on_elected_;
@@ -87,9 +87,8 @@
   auto TakeOwner(const Record& record) -> void;
   auto ConsiderClaim(Millis delay_ms) -> void;
   auto Claim() -> void;
-  auto ReadEpochAndClaim(std::int64_t lease, Millis lease_sent_ms) -> void;
-  auto CommitClaim(std::int64_t lease, Millis lease_sent_ms,
-                   std::int64_t epoch, std::int64_t epoch_revision) -> void;
+  auto CommitClaim(const LeaseResult& granted, std::int64_t epoch,
+                   std::int64_t epoch_revision) -> void;
   auto Keep() -> void;
   auto NoteAnswer(StoreStatus status, Millis sent_ms) -> void;
 
@@ -108,6 +107,8 @@
   bool is_retired_ = false;
   bool had_rights_ = false;
   Millis store_seen_ms_ = 0;
+  // Time that the latest read of the owner took.
+  Millis round_trip_ms_ = 0;
   std::map<std::string, PeerReport> peers_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RepeatingTimer> keep_timer_;
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -16,7 +16,7 @@
 namespace {
 
 // How often an instance tells the owner that it is there.
-constexpr Millis kReportMs = 500;
+constexpr Millis kReportMs = 300;
 // Refused connections in a row after which the owner's process is taken for
 // gone.
 constexpr int kOwnerRefusals = 2;
@@ -285,10 +285,8 @@
 auto FleetNode::FinishDrain(Millis started_ms,
                             const std::function<void()>& done) -> void {
   const auto elapsed = BootMs() - started_ms;
-  const auto is_recorded = dispatcher_ == nullptr || dispatcher_->IsRecorded();
-  if (is_recorded || elapsed > kStopAcceptingMs / 2) {
-    election_->Retire();
-  }
+  // What is not recorded yet, the successor learns from the workers.
+  election_->Retire();
   if (elapsed >= kStopAcceptingMs) {
     client_server_->StopAccepting();
     const auto is_out_of_time = elapsed >= options_.grace_ms_ - kExitMarginMs;
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -37,7 +37,7 @@
   // Time from the signal to stop until the process must have ended.
   Millis grace_ms_ = 6000;
   // Time to live of the owner's lease.
-  Millis owner_ttl_ms_ = 2000;
+  Millis owner_ttl_ms_ = 1500;
   DispatcherOptions dispatcher_;
 };
 
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -59,6 +59,14 @@
   int priority_ = 0;
 };
 
+// An end that was taken in and is not recorded yet.
+struct UnrecordedEnd {
+  std::int64_t number_ = 0;
+  // The record that must hold it, and in which version; empty if none must.
+  std::string key_;
+  std::uint64_t version_ = 0;
+};
+
 struct FleetWorker {
   WorkerEntry entry_;
   // False if the entry has left the list.
@@ -68,9 +76,9 @@
   std::int64_t entry_revision_ = 0;
   Millis entry_changed_ms_ = 0;
   // True once the store names the worker as one on which tasks may run, and
-  // the generation of records that does.
+  // the version of the record that does.
   bool is_recorded_ = false;
-  std::uint64_t listed_generation_ = 0;
+  std::uint64_t listed_version_ = 0;
   // True once the worker has answered a Hold with this dispatcher's token.
   bool is_claimed_ = false;
   // The life that the runs belong to.
@@ -84,8 +92,7 @@
   // Ends up to this number were taken in; up to the other one, recorded.
   std::int64_t seen_ = 0;
   std::int64_t recorded_ = 0;
-  // End numbers and the generation of records that they belong to.
-  std::deque<std::pair<std::int64_t, std::uint64_t>> unrecorded_;
+  std::deque<UnrecordedEnd> unrecorded_;
 
   bool is_holding_ = false;
   Millis next_hold_ms_ = 0;
--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -106,6 +106,10 @@
     Refuse(reply, 400, target.id_, std::string(job.status().message()));
     return;
   }
+  if (IsStoreSilent()) {
+    Refuse(reply, 503, target.id_, "the store does not answer");
+    return;
+  }
   job->id_ = target.id_;
   job->queue_ = target.queue_->name_;
   job->team_ = target.team_;
@@ -113,13 +117,22 @@
   Store(*job, BootMs() + kGiveUpMs, false, std::move(reply));
 }
 
+auto FrontDesk::IsStoreSilent() const -> bool {
+  return silent_since_ms_ != 0 && config_->ConfirmedMs() < silent_since_ms_;
+}
+
 auto FrontDesk::Store(const JobRecord& job, Millis give_up_ms, bool is_unsure,
                       Reply reply) -> void {
   Transaction transaction;
   transaction.conditions_ = {{JobKey(job.id_), 0}};
   transaction.puts_ = {{JobKey(job.id_), EncodeJob(job), 0}};
-  store_->Commit(transaction, [this, job, give_up_ms, is_unsure,
-                               reply](const CommitResult& result) {
+  store_->Commit(transaction, [this, job, give_up_ms, is_unsure, reply,
+                               sent_ms =
+                                   BootMs()](const CommitResult& result) {
+    if (result.status_ == StoreStatus::kOk ||
+        result.status_ == StoreStatus::kConflict) {
+      silent_since_ms_ = 0;
+    }
     if (result.status_ == StoreStatus::kOk) {
       LogEvent(Event::kFleetJobAccepted,
                {{"job", job.id_},
@@ -136,6 +149,9 @@
       reply->Send(200, "{}");
       return;
     }
+    if (result.status_ == StoreStatus::kUnknown) {
+      silent_since_ms_ = sent_ms;
+    }
     const auto unsure = is_unsure || result.status_ == StoreStatus::kUnknown;
     if (!unsure) {
       Refuse(reply, 503, job.id_, "the store refuses");
--- a/fleet/front_desk.h
+++ b/fleet/front_desk.h
@@ -79,6 +79,7 @@
   auto StoreCancel(const std::string& id, Millis give_up_ms, Reply reply)
       -> void;
   auto ShowPending(const Queue& queue, Reply reply) -> void;
+  auto IsStoreSilent() const -> bool;
   auto Refuse(const Reply& reply, int status, const std::string& id,
               const std::string& reason) -> void;
 
@@ -88,6 +89,9 @@
   FrontFormats formats_;
   OwnerLink owner_;
   Millis max_config_age_ms_;
+  // When the latest write without an answer was sent; 0 after one that was answered. While the
+  // store is silent, new writes would only end with an unknown outcome.
+  Millis silent_since_ms_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -137,8 +137,8 @@
   // Returns what the store has to hold, with the tasks' latest checkpoints.
   auto Progress() const -> ProgressRecord;
 
-  // The store's revision of the progress record; 0 if there is none.
-  std::int64_t progress_revision_ = 0;
+  // The version of the progress record that holds the job's end.
+  std::uint64_t end_version_ = 0;
   // True once the store holds the job's end.
   bool is_end_recorded_ = false;
   // When the end was recorded, BootMs.
--- a/fleet/progress_recorder.cc
+++ b/fleet/progress_recorder.cc
@@ -1,6 +1,6 @@
-// One transaction is under way at a time, and the next takes all that became
-// dirty meanwhile: the store's latency sets the batch size by itself. A short
-// pause between transactions bounds their number, since each is priced.
+// Changes are gathered for a short time, since each transaction is priced. A
+// few transactions on different keys may be under way at once: with one, a
+// store that takes a quarter of a second would hold up all acknowledgements.
 
 #include "fleet/progress_recorder.h"
 
@@ -17,6 +17,7 @@
 constexpr Millis kMinIntervalMs = 25;
 constexpr Millis kRetryMs = 100;
 constexpr Millis kMaxRetryMs = 800;
+constexpr int kMaxInFlight = 4;
 // One entry is the condition on the owner, two are needed for each key.
 constexpr std::size_t kKeysPerTransaction = (kMaxTransactionEntries - 1) / 2;
 
@@ -29,12 +30,25 @@
       owner_revision_(owner_revision),
       hooks_(std::move(hooks)) {}
 
-auto ProgressRecorder::MarkDirty(const std::string& key) -> void {
-  dirty_.insert(key);
-  if (!is_writing_) {
-    const auto since = MonotonicMs() - last_flush_ms_;
-    Schedule(std::max<Millis>(0, kMinIntervalMs - since));
+auto ProgressRecorder::SetRevision(const std::string& key,
+                                   std::int64_t revision) -> void {
+  keys_[key].revision_ = revision;
+}
+
+auto ProgressRecorder::MarkDirty(const std::string& key) -> std::uint64_t {
+  auto& state = keys_[key];
+  state.version_ = next_version_++;
+  if (!state.is_in_flight_) {
+    dirty_.insert(key);
   }
+  Schedule(std::max<Millis>(0, kMinIntervalMs - (MonotonicMs() - last_flush_ms_)));
+  return state.version_;
+}
+
+auto ProgressRecorder::IsDurable(const std::string& key,
+                                 std::uint64_t version) const -> bool {
+  const auto it = keys_.find(key);
+  return it != keys_.end() && it->second.durable_version_ >= version;
 }
 
 auto ProgressRecorder::Schedule(Millis delay_ms) -> void {
@@ -51,80 +65,72 @@
 }
 
 auto ProgressRecorder::Flush() -> void {
-  if (is_writing_ || (dirty_.empty() && queue_.empty())) {
-    return;
-  }
-  if (queue_.empty()) {
-    queue_.assign(dirty_.begin(), dirty_.end());
-    written_ = queue_;
-    dirty_.clear();
-    ++generation_;
+  while (!dirty_.empty() && in_flight_ < kMaxInFlight) {
+    Batch batch;
+    Transaction transaction;
+    transaction.conditions_.push_back({kOwnerKey, owner_revision_});
+    while (!dirty_.empty() && batch.keys_.size() < kKeysPerTransaction) {
+      const auto key = *dirty_.begin();
+      dirty_.erase(dirty_.begin());
+      auto& state = keys_[key];
+      state.is_in_flight_ = true;
+      batch.keys_.push_back(key);
+      batch.versions_.push_back(state.version_);
+      transaction.conditions_.push_back({key, state.revision_});
+      transaction.puts_.push_back({key, hooks_.text_(key), 0});
+    }
+    last_flush_ms_ = MonotonicMs();
+    ++in_flight_;
+    store_->Commit(transaction,
+                   [this, batch, alive = is_alive_](const CommitResult& result) {
+                     if (*alive) {
+                       OnCommit(batch, result);
+                     }
+                   });
   }
-  last_flush_ms_ = MonotonicMs();
-  is_writing_ = true;
-  WriteNext();
 }
 
-auto ProgressRecorder::WriteNext() -> void {
-  const auto count = std::min(queue_.size(), kKeysPerTransaction);
-  const std::vector<std::string> keys(
-      queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(count));
-  Transaction transaction;
-  transaction.conditions_.push_back({kOwnerKey, owner_revision_});
-  for (const auto& key : keys) {
-    transaction.conditions_.push_back({key, hooks_.revision_(key)});
-    transaction.puts_.push_back({key, hooks_.text_(key), 0});
+auto ProgressRecorder::OnCommit(const Batch& batch, const CommitResult& result)
+    -> void {
+  --in_flight_;
+  const auto is_ok = result.status_ == StoreStatus::kOk;
+  auto is_owner = result.status_ != StoreStatus::kConflict;
+  std::map<std::string, std::int64_t> current;
+  for (const auto& record : result.current_) {
+    current[record.key_] = record.revision_;
+    is_owner |=
+        record.key_ == kOwnerKey && record.revision_ == owner_revision_;
   }
-  store_->Commit(transaction,
-                 [this, keys, alive = is_alive_](const CommitResult& result) {
-                   if (*alive) {
-                     OnCommit(keys, result);
-                   }
-                 });
-}
-
-auto ProgressRecorder::OnCommit(const std::vector<std::string>& keys,
-                                const CommitResult& result) -> void {
-  if (result.status_ == StoreStatus::kOk) {
-    failures_ = 0;
-    for (const auto& key : keys) {
-      hooks_.set_revision_(key, result.revision_);
+  if (!is_owner) {
+    hooks_.on_deposed_();
+    return;
+  }
+  for (std::size_t i = 0; i < batch.keys_.size(); ++i) {
+    auto& state = keys_[batch.keys_[i]];
+    state.is_in_flight_ = false;
+    if (is_ok) {
+      state.revision_ = result.revision_;
+      state.durable_version_ = batch.versions_[i];
+    } else if (result.status_ == StoreStatus::kConflict) {
+      // An earlier write without an answer was done after all.
+      state.revision_ = current[batch.keys_[i]];
     }
-    queue_.erase(queue_.begin(),
-                 queue_.begin() + static_cast<std::ptrdiff_t>(keys.size()));
-    if (!queue_.empty()) {
-      WriteNext();
-      return;
+    if (state.version_ > state.durable_version_) {
+      dirty_.insert(batch.keys_[i]);
     }
-    is_writing_ = false;
+  }
+  if (is_ok) {
+    failures_ = 0;
     if (!dirty_.empty()) {
       Schedule(kMinIntervalMs);
     }
-    hooks_.on_durable_(generation_ - 1, written_);
+    hooks_.on_durable_(batch.keys_);
     return;
   }
-  is_writing_ = false;
   ++failures_;
-  if (result.status_ == StoreStatus::kConflict) {
-    auto is_owner = false;
-    std::map<std::string, std::int64_t> current;
-    for (const auto& record : result.current_) {
-      current[record.key_] = record.revision_;
-      is_owner |= record.key_ == kOwnerKey &&
-                  record.revision_ == owner_revision_;
-    }
-    if (!is_owner) {
-      hooks_.on_deposed_();
-      return;
-    }
-    // An earlier write without an answer was done after all.
-    for (const auto& key : keys) {
-      hooks_.set_revision_(key, current[key]);
-    }
-  }
   LogEvent(Event::kProgressNotRecorded,
            {{"status", StoreStatusName(result.status_)},
-            {"keys", std::to_string(keys.size())},
+            {"keys", std::to_string(batch.keys_.size())},
             {"failures", std::to_string(failures_)}});
   Schedule(std::min(kMaxRetryMs, kRetryMs * failures_));
 }
--- a/fleet/progress_recorder.h
+++ b/fleet/progress_recorder.h
@@ -1,15 +1,14 @@
 // Writes the progress of jobs into the store, several jobs in one transaction.
 //
-// Ends are collected in generations. When a generation is durable, workers may
-// forget the ends that belong to it:
+// Each change of a key gets a version; the key is durable up to the version
+// that the store holds:
 //
-//   recorder.MarkDirty(job_id);
-//   acks.push_back({end.number_, recorder.generation()});
-//   ... on_durable(generation): acknowledge all ends up to `generation`
+//   const auto version = recorder.MarkDirty(key);
+//   ... on_durable(): if (recorder.IsDurable(key, version)) Acknowledge(end);
 //
 // Every write is conditional on the owner's record, so that an instance that
-// lost its rights cannot write, and on the record's last known revision, so
-// that a write that is carried out late cannot overwrite a newer one.
+// lost its rights cannot write, and on the key's last known revision, so that a
+// write that is carried out late cannot overwrite a newer one.
 
 #ifndef LENTILSCALE_FLEET_PROGRESS_RECORDER_H_
 #define LENTILSCALE_FLEET_PROGRESS_RECORDER_H_
@@ -31,16 +30,10 @@
 class ProgressRecorder {
  public:
   struct Hooks {
-    // Returns the text to store for a key, and its last known revision.
+    // Returns the text to store for a key.
     std::function<std::string(const std::string& key)> text_;
-    std::function<std::int64_t(const std::string& key)> revision_;
-    // Tells the revision that the store now has for a key.
-    std::function<void(const std::string& key, std::int64_t revision)>
-        set_revision_;
-    // All keys that were dirty up to this generation are stored.
-    std::function<void(std::uint64_t generation,
-                       const std::vector<std::string>& keys)>
-        on_durable_;
+    // These keys are stored as they were when their text was taken.
+    std::function<void(const std::vector<std::string>& keys)> on_durable_;
     // Another instance owns the record of the owner.
     std::function<void()> on_deposed_;
   };
@@ -51,29 +44,40 @@
   ProgressRecorder(const ProgressRecorder&) = delete;
   auto operator=(const ProgressRecorder&) -> ProgressRecorder& = delete;
 
-  // Has `key` written with the next transaction.
-  auto MarkDirty(const std::string& key) -> void;
-  // The generation that collects what is marked now.
-  auto generation() const -> std::uint64_t { return generation_; }
-  auto IsIdle() const -> bool { return dirty_.empty() && !is_writing_; }
+  // Notes the revision of a key that the store holds already.
+  auto SetRevision(const std::string& key, std::int64_t revision) -> void;
+  // Has `key` written; returns the version of the change.
+  auto MarkDirty(const std::string& key) -> std::uint64_t;
+  auto IsDurable(const std::string& key, std::uint64_t version) const -> bool;
+  // Forgets a key that is durable and will not be written again.
+  auto Forget(const std::string& key) -> void { keys_.erase(key); }
 
  private:
+  struct KeyState {
+    // The store's revision of the key; 0 if it does not exist.
+    std::int64_t revision_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t durable_version_ = 0;
+    bool is_in_flight_ = false;
+  };
+  struct Batch {
+    std::vector<std::string> keys_;
+    std::vector<std::uint64_t> versions_;
+  };
+
   auto Schedule(Millis delay_ms) -> void;
   auto Flush() -> void;
-  auto WriteNext() -> void;
-  auto OnCommit(const std::vector<std::string>& keys,
-                const CommitResult& result) -> void;
+  auto OnCommit(const Batch& batch, const CommitResult& result) -> void;
 
   uv_loop_t* loop_;
   RecordStore* store_;
   std::int64_t owner_revision_;
   Hooks hooks_;
-  std::uint64_t generation_ = 1;
+  std::uint64_t next_version_ = 1;
+  std::map<std::string, KeyState> keys_;
+  // Keys whose latest version is neither durable nor in flight.
   std::set<std::string> dirty_;
-  // Keys of the generation that is being written, not yet sent.
-  std::vector<std::string> queue_;
-  std::vector<std::string> written_;
-  bool is_writing_ = false;
+  int in_flight_ = 0;
   bool is_scheduled_ = false;
   Millis last_flush_ms_ = 0;
   int failures_ = 0;
