Answer with a length, bound headers, serve fleet metrics

Cause: every refusal ended its connection, since h2o was not told the answer's length; a header of any size was taken; the fleet scheduler had no metrics. Conclusion: two equal lengths, a length beside chunks, and a slow header (408) stay as they were: h2o's parser hides the first two from handlers and closes on the third.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -35,12 +35,13 @@
 
 Dispatcher::Dispatcher(uv_loop_t* loop, RecordStore* store,
                        WorkerGateway* workers, AdviceDesk* advice,
-                       const DispatchRights& rights,
+                       FleetMetrics* metrics, const DispatchRights& rights,
                        const DispatcherOptions& options, DispatcherHooks hooks)
     : loop_(loop),
       store_(store),
       gateway_(workers),
       advice_(advice),
+      metrics_(metrics),
       rights_(rights),
       options_(options),
       hooks_(std::move(hooks)),
@@ -137,6 +138,7 @@
   inbox_.clear();
   progress_.clear();
   is_state_read_ = true;
+  metrics_->Add(FleetCounter::kTakeOvers);
   LogEvent(Event::kFleetStateRead,
            {{"epoch", std::to_string(rights_.epoch_)},
             {"jobs", std::to_string(jobs_.size())},
@@ -265,6 +267,7 @@
   for (auto* step : job.steps()) {
     waiting_.erase(KeyOf(*step));
   }
+  metrics_->Add(FleetCounter::kJobsEnded);
   const auto now = BootMs();
   for (auto& [id, worker] : workers_) {
     for (auto& [key, run] : worker.runs_) {
@@ -379,6 +382,9 @@
         recorder_.IsDurable(key, job->end_version_)) {
       job->is_end_recorded_ = true;
       job->ended_ms_ = now;
+      metrics_->Record(
+          FleetLatency::kJob, job->record().queue_,
+          static_cast<double>(WallMs() - job->record().accepted_ms_));
     }
   }
   for (auto& [id, worker] : workers_) {
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -31,6 +31,7 @@
 
 #include "fleet/advice_desk.h"
 #include "fleet/fleet_config.h"
+#include "fleet/fleet_metrics.h"
 #include "fleet/fleet_worker.h"
 #include "fleet/job.h"
 #include "fleet/progress_recorder.h"
@@ -75,8 +76,9 @@
 class Dispatcher {
  public:
   Dispatcher(uv_loop_t* loop, RecordStore* store, WorkerGateway* workers,
-             AdviceDesk* advice, const DispatchRights& rights,
-             const DispatcherOptions& options, DispatcherHooks hooks);
+             AdviceDesk* advice, FleetMetrics* metrics,
+             const DispatchRights& rights, const DispatcherOptions& options,
+             DispatcherHooks hooks);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   auto operator=(const Dispatcher&) -> Dispatcher& = delete;
@@ -199,6 +201,7 @@
   RecordStore* store_;
   WorkerGateway* gateway_;
   AdviceDesk* advice_;
+  FleetMetrics* metrics_;
   DispatchRights rights_;
   DispatcherOptions options_;
   DispatcherHooks hooks_;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -418,9 +418,12 @@
   step.is_asking_advice_ = advice_->Ask(
       question, now_ms,
       [this, job = step.job_->record().id_, occurrence = step.occurrence_,
-       number = step.number_, asked = question.workers_,
-       alive = is_alive_](const AdviceResult& result) {
+       number = step.number_, asked = question.workers_, name = queue.name_,
+       now_ms, alive = is_alive_](const AdviceResult& result) {
         if (*alive) {
+          metrics_->Add(FleetCounter::kAdviceCalls);
+          metrics_->Record(FleetLatency::kAdvice, name,
+                           static_cast<double>(BootMs() - now_ms));
           OnAdvice(job, occurrence, number, asked, result);
         }
       });
@@ -519,6 +522,9 @@
   order.fencing_token_ = rights_.epoch_;
   order.worker_deadline_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
   const auto waited = now_ms - task.waiting_since_ms_;
+  metrics_->Add(FleetCounter::kStarts);
+  metrics_->Record(FleetLatency::kStartWait, job.record().queue_,
+                   static_cast<double>(waited));
   step.job_->MarkPlaced(step, index, run, worker.entry_.id_);
   LogEvent(Event::kFleetRunStarting,
            {{"task", order.run_.task_},
@@ -527,9 +533,12 @@
             {"waited_ms", std::to_string(waited)},
             {"token", std::to_string(rights_.epoch_)}});
   gateway_->Start(worker.entry_, order,
-                  [this, worker_id = worker.entry_.id_, id, run,
+                  [this, worker_id = worker.entry_.id_,
+                   service = worker.entry_.service_, id, run, now_ms,
                    alive = is_alive_](const OrderResult& result) {
                     if (*alive) {
+                      metrics_->Record(FleetLatency::kStartOrder, service,
+                                       static_cast<double>(BootMs() - now_ms));
                       OnStartAnswer(worker_id, id, run, result);
                     }
                   });
@@ -558,6 +567,7 @@
     }
     return;
   }
+  metrics_->Add(FleetCounter::kStartsFailed);
   LogEvent(Event::kFleetStartFailed,
            {{"task", id.ToString()},
             {"run", std::to_string(run)},
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -15,6 +15,8 @@
 namespace lentilscale::fleet {
 namespace {
 
+// Where the peer address serves metrics.
+constexpr const char* kMetricsPath = "/metrics";
 // How often an instance tells the owner that it is there.
 constexpr Millis kReportMs = 300;
 // Refused connections in a row after which the owner's process is taken for
@@ -63,7 +65,7 @@
                                    ports.parse_configuration_);
   node->front_ = std::make_unique<FrontDesk>(
       loop, ports.store_, node->config_.get(), ports.formats_,
-      node->MakeOwnerLink(), options.max_config_age_ms_);
+      node->MakeOwnerLink(), options.max_config_age_ms_, &node->metrics_);
   const auto status = node->Listen();
   if (!status.ok()) {
     return status;
@@ -132,6 +134,22 @@
   reply->Send(is_ready ? 200 : 503, "{}");
 }
 
+auto FleetNode::MetricsText() -> std::string {
+  std::map<std::string, std::int64_t> gauges;
+  gauges["configuration_age_ms"] = config_->AgeMs();
+  gauges["store_age_ms"] = election_->StoreAgeMs();
+  gauges["is_owner"] = dispatcher_ == nullptr ? 0 : 1;
+  gauges["has_rights"] = election_->HasRights() ? 1 : 0;
+  if (dispatcher_ != nullptr) {
+    gauges["epoch"] = dispatcher_->token();
+    gauges["workers"] = static_cast<std::int64_t>(dispatcher_->worker_count());
+    gauges["running"] = static_cast<std::int64_t>(dispatcher_->running_count());
+    gauges["waiting_steps"] =
+        static_cast<std::int64_t>(dispatcher_->waiting_count());
+  }
+  return metrics_.Text(gauges);
+}
+
 auto FleetNode::MakeOwnerLink() -> OwnerLink {
   return {
       [this](const JobRecord& job) {
@@ -180,7 +198,7 @@
   hooks.config_ = [this] { return config_->current(); };
   hooks.parse_worker_ = ports_.parse_worker_;
   dispatcher_ = std::make_unique<Dispatcher>(
-      loop_, ports_.store_, ports_.workers_, &advice_, rights,
+      loop_, ports_.store_, ports_.workers_, &advice_, &metrics_, rights,
       options_.dispatcher_, std::move(hooks));
 }
 
@@ -203,6 +221,10 @@
 
 auto FleetNode::HandlePeer(const HttpRequest& request,
                            const std::shared_ptr<HttpReply>& reply) -> void {
+  if (request.path_ == kMetricsPath) {
+    reply->Send(200, MetricsText(), "text/plain; version=0.0.4");
+    return;
+  }
   try {
     const auto body = ParseJson(request.body_);
     Json::Value answer(Json::objectValue);
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -77,6 +77,7 @@
                   const std::shared_ptr<HttpReply>& reply) -> void;
   auto HandleReadiness(const HttpRequest& request,
                        const std::shared_ptr<HttpReply>& reply) -> void;
+  auto MetricsText() -> std::string;
   auto MakeOwnerLink() -> OwnerLink;
   auto OnElected(const DispatchRights& rights) -> void;
   auto Report() -> void;
@@ -88,6 +89,7 @@
   FleetNodePorts ports_;
   PeerClient peers_;
   AdviceDesk advice_;
+  FleetMetrics metrics_;
   std::unique_ptr<ConfigFeed> config_;
   std::unique_ptr<Election> election_;
   std::unique_ptr<Dispatcher> dispatcher_;
--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -34,13 +34,15 @@
 
 FrontDesk::FrontDesk(uv_loop_t* loop, RecordStore* store,
                      const ConfigFeed* config, FrontFormats formats,
-                     OwnerLink owner, Millis max_config_age_ms)
+                     OwnerLink owner, Millis max_config_age_ms,
+                     FleetMetrics* metrics)
     : loop_(loop),
       store_(store),
       config_(config),
       formats_(std::move(formats)),
       owner_(std::move(owner)),
-      max_config_age_ms_(max_config_age_ms) {}
+      max_config_age_ms_(max_config_age_ms),
+      metrics_(metrics) {}
 
 auto FrontDesk::IsReady() const -> bool {
   return config_->current() != nullptr &&
@@ -49,6 +51,7 @@
 
 auto FrontDesk::Refuse(const Reply& reply, int status, const std::string& id,
                        const std::string& reason) -> void {
+  metrics_->Add(FleetCounter::kRequestsRefused);
   LogEvent(Event::kFleetRequestRefused,
            {{"id", id},
             {"status", std::to_string(status)},
@@ -134,12 +137,16 @@
       silent_since_ms_ = 0;
     }
     if (result.status_ == StoreStatus::kOk) {
+      const auto took = BootMs() - (give_up_ms - kGiveUpMs);
+      metrics_->Add(FleetCounter::kJobsAccepted);
+      metrics_->Record(FleetLatency::kAccept, job.queue_,
+                       static_cast<double>(took));
       LogEvent(Event::kFleetJobAccepted,
                {{"job", job.id_},
                 {"queue", job.queue_},
                 {"team", job.team_},
                 {"revision", std::to_string(result.revision_)},
-                {"took_ms", std::to_string(BootMs() - give_up_ms + kGiveUpMs)}});
+                {"took_ms", std::to_string(took)}});
       reply->Send(200, "{}");
       owner_.tell_job_(job);
       return;
--- a/fleet/front_desk.h
+++ b/fleet/front_desk.h
@@ -20,6 +20,7 @@
 #include <string>
 
 #include "fleet/config_feed.h"
+#include "fleet/fleet_metrics.h"
 #include "fleet/job_record.h"
 #include "fleet/record_store.h"
 #include "lentilscale/http_server.h"
@@ -49,7 +50,8 @@
 class FrontDesk {
  public:
   FrontDesk(uv_loop_t* loop, RecordStore* store, const ConfigFeed* config,
-            FrontFormats formats, OwnerLink owner, Millis max_config_age_ms);
+            FrontFormats formats, OwnerLink owner, Millis max_config_age_ms,
+            FleetMetrics* metrics);
   ~FrontDesk() { *is_alive_ = false; }
   FrontDesk(const FrontDesk&) = delete;
   auto operator=(const FrontDesk&) -> FrontDesk& = delete;
@@ -89,6 +91,7 @@
   FrontFormats formats_;
   OwnerLink owner_;
   Millis max_config_age_ms_;
+  FleetMetrics* metrics_;
   // When the latest write without an answer was sent; 0 after one that was answered. While the
   // store is silent, new writes would only end with an unknown outcome.
   Millis silent_since_ms_ = 0;
--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -29,6 +29,7 @@
   h2o_handler_t super_;
   HttpServer::Handler* handler_;
   ServerCounters* counters_;
+  std::size_t max_header_bytes_;
 };
 
 struct ReplyHook {
@@ -63,6 +64,15 @@
   }
 }
 
+auto HeaderBytes(const h2o_req_t& req) -> std::size_t {
+  auto bytes = req.path.len;
+  for (std::size_t i = 0; i < req.headers.size; ++i) {
+    const auto& header = req.headers.entries[i];
+    bytes += header.name->len + header.value.len;
+  }
+  return bytes;
+}
+
 auto MakeRequest(const h2o_req_t& req) -> HttpRequest {
   HttpRequest out;
   out.method_ = ToString(req.method);
@@ -96,6 +106,8 @@
       return "Not Found";
     case 408:
       return "Request Timeout";
+    case 405:
+      return "Method Not Allowed";
     case 409:
       return "Conflict";
     case 410:
@@ -106,6 +118,8 @@
       return "Unprocessable Content";
     case 429:
       return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
     case 500:
       return "Internal Server Error";
     case 503:
@@ -126,6 +140,10 @@
   *slot = new ReplyHook{reply, handler->counters_};
   ++handler->counters_->open_requests_;
   handler->counters_->bytes_in_ += request.path_.size() + request.body_.size();
+  if (HeaderBytes(*req) > handler->max_header_bytes_) {
+    reply->Send(431, R"({"code":"too_large","not_run":true})");
+    return 0;
+  }
   (*handler->handler_)(request, std::move(reply));
   return 0;
 }
@@ -192,6 +210,8 @@
   handler->counters_->bytes_out_ += body.size();
   req->res.status = status;
   req->res.reason = ReasonPhrase(status);
+  // Without a length, h2o ends the connection after each refusal.
+  req->res.content_length = body.size();
   h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
                  content_type, std::strlen(content_type));
   h2o_send_inline(req, body.data(), body.size());
@@ -270,6 +290,7 @@
   h2o_handler->super_.on_req = OnRequest;
   h2o_handler->handler_ = &core->handler_;
   h2o_handler->counters_ = &core->counters_;
+  h2o_handler->max_header_bytes_ = limits.max_header_bytes_;
   h2o_context_init(&core->context_, loop, &core->config_);
   core->accept_.ctx = &core->context_;
   core->accept_.hosts = core->config_.hosts;
--- a/lentilscale/http_server.h
+++ b/lentilscale/http_server.h
@@ -76,6 +76,8 @@
 // Bounds on what the server accepts.
 struct HttpLimits {
   std::size_t max_body_bytes_ = 262144;
+  // Names and values of a request's headers together; more is refused with 431.
+  std::size_t max_header_bytes_ = 16384;
   // Time for a request's header and body to arrive; also the longest idle
   // time of a connection.
   std::uint64_t request_timeout_ms_ = 15000;
