--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -181,7 +181,7 @@
                   const std::string& avoid, Millis now_ms) -> FleetWorker*;
   auto HasTeamRoom(const std::string& team, const Resources& demand) const
       -> bool;
-  auto KeepRoomForGang(StepRun& step, const Queue& queue, Millis now_ms)
+  auto KeepRoom(StepRun& step, const Queue& queue, int tasks, Millis now_ms)
       -> void;
   auto AskForWishes(Millis now_ms) -> void;
   auto AddAllWorkers(const StepRun& step, const Queue& queue,
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -36,7 +36,9 @@
 constexpr double kShortAdviceMs = 60;
 // Run numbers of successive owners do not overlap.
 constexpr std::int64_t kRunsPerEpoch = 1000;
-// One in this many workers of a service is kept free for waiting gangs at most.
+// Room is kept for tasks that take at least this share of a worker.
+constexpr double kLargeShare = 0.3;
+// One in this many workers of a service is kept free for large tasks at most.
 constexpr std::size_t kKeptDivisor = 3;
 // Scores: a worker near the data, or without tasks that would be disturbed,
 // goes before any difference in room.
@@ -229,6 +231,7 @@
     StartTask(step, static_cast<int>(i), *worker, NextRun(task), now_ms);
   }
   if (unplaced > 0) {
+    KeepRoom(step, queue, unplaced, now_ms);
     wishes_.push_back({&step, unplaced});
   }
   return unplaced == 0;
@@ -267,7 +270,7 @@
     --step.per_worker_[worker->entry_.id_];
   }
   if (static_cast<int>(chosen.size()) < count) {
-    KeepRoomForGang(step, queue, now_ms);
+    KeepRoom(step, queue, count, now_ms);
     wishes_.push_back({&step, count});
     return false;
   }
@@ -281,11 +284,11 @@
   return true;
 }
 
-// A gang that needs much of several workers at once would wait for ever behind
-// smaller tasks that fill each gap. The allowed workers that will have room for
-// it first take no less urgent tasks until it is placed.
-auto Dispatcher::KeepRoomForGang(StepRun& step, const Queue& queue,
-                                 Millis now_ms) -> void {
+// A task that needs much of a worker would wait for ever behind smaller ones
+// that fill each gap. The allowed workers that will have room for it first take
+// no less urgent tasks until it is placed.
+auto Dispatcher::KeepRoom(StepRun& step, const Queue& queue, int tasks,
+                          Millis now_ms) -> void {
   if (queue.advice_.has_value() && step.allowed_.empty()) {
     return;
   }
@@ -306,6 +309,7 @@
     const auto allowed = step.allowed_.find(id);
     if (worker.IsUsable(now_ms) && worker.kept_for_.empty() &&
         demand.FitsIn(worker.entry_.capacity_) &&
+        demand.DominantShare(worker.entry_.capacity_) >= kLargeShare &&
         (!queue.advice_.has_value() ||
          (allowed != step.allowed_.end() && allowed->second)) &&
         worker.HasLabel(step.step_->required_label_)) {
@@ -317,15 +321,14 @@
               return a.free_in_ms_ < b.free_in_ms_;
             });
   const auto most = std::max<std::size_t>(1, in_service / kKeptDivisor);
-  auto members = static_cast<int>(step.tasks_.size());
   for (const auto& option : options) {
-    if (members <= 0 || kept >= most) {
+    if (tasks <= 0 || kept >= most) {
       break;
     }
     option.worker_->kept_for_ = step.Name();
     option.worker_->kept_priority_ = queue.priority_;
     ++kept;
-    --members;
+    --tasks;
   }
 }
 
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -109,8 +109,8 @@
   Resources used_;
   // By the step's name.
   std::map<std::string, Reservation> reservations_;
-  // A gang that waits for the room here, by its step's name; only more urgent
-  // steps may use the worker meanwhile.
+  // The step whose large tasks wait for the room here, by name; only more
+  // urgent steps may use the worker meanwhile.
   std::string kept_for_;
   int kept_priority_ = 0;
   int filling_ = 0;
