Hand the ownership over to a chosen successor while the old owner goes on

Change: the stopping owner asks the instance that is youngest and nearest to the store to claim over it and goes on until then; a new owner reads workers' entries together with the rest.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -90,6 +90,7 @@
   store_->ReadPrefix(kInboxPrefix, take(&StateReads::inbox_));
   store_->ReadPrefix(kProgressPrefix, take(&StateReads::progress_));
   store_->Read(kWorkersKey, take(&StateReads::workers_));
+  store_->ReadPrefix(options_.worker_prefix_, take(&StateReads::entries_));
 }
 
 auto Dispatcher::TakeStateReads(const StateReads& reads) -> void {
@@ -98,7 +99,7 @@
            result.status_ == StoreStatus::kAbsent;
   };
   if (!is_read(reads.inbox_) || !is_read(reads.progress_) ||
-      !is_read(reads.workers_)) {
+      !is_read(reads.workers_) || !is_read(reads.entries_)) {
     RetryReadState();
     return;
   }
@@ -121,6 +122,7 @@
     }
   }
   OnStateRead();
+  OnWorkersRead(reads.entries_);
 }
 
 auto Dispatcher::OnStateRead() -> void {
@@ -145,7 +147,6 @@
             {"revision", std::to_string(inbox_revision_)},
             {"unclaimed_workers", std::to_string(unclaimed_.size())},
             {"age_ms", std::to_string(BootMs() - rights_.claimed_ms_)}});
-  ReadWorkers();
   WatchInbox();
 }
 
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -110,8 +110,10 @@
   struct StateReads {
     ReadResult inbox_;
     ReadResult progress_;
+    // The record of the previous owner's workers, and the workers' entries.
     ReadResult workers_;
-    int open_ = 3;
+    ReadResult entries_;
+    int open_ = 4;
   };
 
   auto ReadState() -> void;
--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -25,6 +25,9 @@
 constexpr Millis kClaimSpreadMs = 40;
 constexpr Millis kDelayPerRoundTrip = 5;
 constexpr Millis kMaxDistanceDelayMs = 150;
+// One millisecond later for each of these of the process's age.
+constexpr Millis kAgePerDelayMs = 500;
+constexpr Millis kMaxAgeDelayMs = 80;
 // A peer's report counts for this long.
 constexpr Millis kReportValidMs = 1800;
 
@@ -179,11 +182,19 @@
 }
 
 // Instances near the store claim first: every record of progress and every
-// renewal takes the owner's way to it.
+// renewal takes the owner's way to it. Among those the youngest: where machines
+// are restarted in turn, it has its turn behind it.
 auto Election::ClaimDelayMs() const -> Millis {
   return static_cast<Millis>(std::hash<std::string>{}(options_.instance_) %
                              kClaimSpreadMs) +
-         std::min(kMaxDistanceDelayMs, kDelayPerRoundTrip * round_trip_ms_);
+         std::min(kMaxDistanceDelayMs, kDelayPerRoundTrip * round_trip_ms_) +
+         std::min(kMaxAgeDelayMs, (BootMs() - started_ms_) / kAgePerDelayMs);
+}
+
+auto Election::ClaimFrom(std::int64_t owner_revision) -> void {
+  if (owner_revision == owner_.revision_) {
+    ConsiderClaim(0);
+  }
 }
 
 auto Election::NoteOwnerRefuses() -> void {
@@ -360,9 +371,4 @@
   });
 }
 
-auto Election::Retire() -> void {
-  is_retired_ = true;
-  StepDown("this instance is stopping");
-}
-
 }  // namespace lentilscale::fleet
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -61,15 +61,22 @@
   // Returns true while this instance may give orders.
   auto HasRights() -> bool;
 
+  // Keeps this instance from claiming again; it stays the owner until another
+  // has claimed or StepDown is called.
+  auto PrepareToStop() -> void { is_retired_ = true; }
   // Gives up the rights at once, so that another instance can claim.
   auto StepDown(const std::string& reason) -> void;
-  // Keeps this instance from claiming from now on.
-  auto Retire() -> void;
+  // Claims from the owner that has `owner_revision`, which asks for it because
+  // it is about to stop.
+  auto ClaimFrom(std::int64_t owner_revision) -> void;
   // Notes that connections to the owner are refused: its process is gone.
   auto NoteOwnerRefuses() -> void;
   // Notes what a peer says of its own access to the store: the age of its
   // last answer.
   auto NotePeerStoreAge(const std::string& peer, Millis age_ms) -> void;
+  // Returns the delay with which this instance claims: the smaller, the better
+  // it is placed.
+  auto ClaimDelayMs() const -> Millis;
   // Returns the time since the store last answered this instance.
   auto StoreAgeMs() const -> Millis;
 
@@ -79,8 +86,6 @@
     Millis store_seen_ms_ = 0;
   };
 
-  // Returns this instance's place in the spread of claims.
-  auto ClaimDelayMs() const -> Millis;
   auto ReadOwner() -> void;
   auto ReadOwnerSoon() -> void;
   auto WatchOwner() -> void;
@@ -109,6 +114,7 @@
   Millis store_seen_ms_ = 0;
   // Time that the latest read of the owner took.
   Millis round_trip_ms_ = 0;
+  Millis started_ms_ = BootMs();
   std::map<std::string, PeerReport> peers_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RepeatingTimer> keep_timer_;
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -22,6 +22,10 @@
 // Refused connections in a row after which the owner's process is taken for
 // gone.
 constexpr int kOwnerRefusals = 2;
+// A reporting instance that was heard of this lately can follow.
+constexpr Millis kSuccessorSilenceMs = 900;
+// The chosen successor has this long to claim before the lease is given up.
+constexpr Millis kHandOverMs = 1200;
 // After the signal to stop: the balancer needs two probes, a second apart, to
 // send new connections elsewhere.
 constexpr Millis kStopAcceptingMs = 3000;
@@ -210,7 +214,9 @@
   if (election_->IsOwner() || owner.address_.empty()) {
     return;
   }
-  peers_.Report(owner.address_, options_.peer_address_, election_->StoreAgeMs(),
+  peers_.Report(owner.address_,
+                {options_.peer_address_, election_->StoreAgeMs(),
+                 election_->ClaimDelayMs()},
                 [this, revision = owner.revision_] {
                   if (election_->owner().revision_ == revision &&
                       ++owner_refusals_ >= kOwnerRefusals) {
@@ -254,6 +260,11 @@
           });
       return;
     }
+    if (request.path_ == "/peer/claim") {
+      election_->ClaimFrom(RequireInt(body, "owner_revision", 0, INT64_MAX));
+      reply->Send(200, "{}");
+      return;
+    }
     if (dispatcher_ == nullptr) {
       reply->Send(409, "{}");
       return;
@@ -263,6 +274,8 @@
       advice_.NoteHelper(address, BootMs());
       election_->NotePeerStoreAge(
           address, GetInt(body, "store_age_ms", 0, 0, INT64_MAX));
+      successors_[address] = {
+          BootMs(), GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
     } else if (request.path_ == "/peer/job") {
       const auto job = DecodeJob(RequireString(body, "job"));
       if (!job.ok()) {
@@ -300,15 +313,39 @@
   }
   is_draining_ = true;
   LogEvent(Event::kStopping, {{"owner", election_->IsOwner() ? "true" : "false"}});
-  const auto started = BootMs();
-  FinishDrain(started, done);
+  election_->PrepareToStop();
+  HandOver();
+  FinishDrain(BootMs(), done);
+}
+
+// The successor claims while this instance still schedules, so that the fleet
+// is without an owner only while the successor reads.
+auto FleetNode::HandOver() -> void {
+  if (!election_->IsOwner()) {
+    return;
+  }
+  const auto now = BootMs();
+  const std::string* best = nullptr;
+  Millis best_delay = 0;
+  for (const auto& [address, successor] : successors_) {
+    if (now - successor.reported_ms_ < kSuccessorSilenceMs &&
+        (best == nullptr || successor.claim_delay_ms_ < best_delay)) {
+      best = &address;
+      best_delay = successor.claim_delay_ms_;
+    }
+  }
+  if (best != nullptr) {
+    peers_.AskToClaim(*best, election_->owner().revision_);
+  }
 }
 
 auto FleetNode::FinishDrain(Millis started_ms,
                             const std::function<void()>& done) -> void {
   const auto elapsed = BootMs() - started_ms;
   // What is not recorded yet, the successor learns from the workers.
-  election_->Retire();
+  if (elapsed >= kHandOverMs) {
+    election_->StepDown("this instance is stopping");
+  }
   if (elapsed >= kStopAcceptingMs) {
     client_server_->StopAccepting();
     const auto is_out_of_time = elapsed >= options_.grace_ms_ - kExitMarginMs;
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -81,6 +81,7 @@
   auto MakeOwnerLink() -> OwnerLink;
   auto OnElected(const DispatchRights& rights) -> void;
   auto Report() -> void;
+  auto HandOver() -> void;
   auto FinishDrain(Millis started_ms, const std::function<void()>& done)
       -> void;
 
@@ -99,6 +100,12 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<RepeatingTimer> report_timer_;
   int owner_refusals_ = 0;
+  // The latest reports of other instances, for the choice of a successor.
+  struct Successor {
+    Millis reported_ms_ = 0;
+    Millis claim_delay_ms_ = 0;
+  };
+  std::map<std::string, Successor> successors_;
   bool is_draining_ = false;
 };
 
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -50,12 +50,22 @@
                 std::move(callback));
 }
 
+auto PeerClient::AskToClaim(const std::string& address,
+                            std::int64_t owner_revision) -> void {
+  Json::Value body(Json::objectValue);
+  body["owner_revision"] = Json::Int64{owner_revision};
+  // If this is lost, the owner gives its lease up a little later.
+  Send(address, "/peer/claim", body, kPeerTimeoutMs,
+       [](const HttpResult& /*http*/) {});
+}
+
 auto PeerClient::Report(const std::string& address,
-                        const std::string& own_address, Millis store_age_ms,
+                        const InstanceReport& report,
                         std::function<void()> on_refused) -> void {
   Json::Value body(Json::objectValue);
-  body["address"] = own_address;
-  body["store_age_ms"] = Json::Int64{store_age_ms};
+  body["address"] = report.address_;
+  body["store_age_ms"] = Json::Int64{report.store_age_ms_};
+  body["claim_delay_ms"] = Json::Int64{report.claim_delay_ms_};
   Send(address, "/peer/report", body, kPeerTimeoutMs,
        [on_refused = std::move(on_refused)](const HttpResult& http) {
          if (http.outcome_ == HttpOutcome::kNotSent &&
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -7,9 +7,12 @@
 //   /peer/cancel   a cancellation that was just accepted
 //   /peer/state    asks for a job's state
 //   /peer/pending  asks for a queue's number of jobs that have not started
+//   /peer/claim    the stopping owner asks an instance to follow it
 //   /peer/advise   asks the instance to ask the advice service
 //
-// Only the owner answers the first five; others answer 409.
+// Only the owner answers the first five; others answer 409. Reports carry the
+// age of the process and its distance from the store, by which the owner chooses
+// its successor.
 
 #ifndef LENTILSCALE_FLEET_PEER_CLIENT_H_
 #define LENTILSCALE_FLEET_PEER_CLIENT_H_
@@ -24,14 +27,25 @@
 
 namespace lentilscale::fleet {
 
+// What an instance tells the owner of itself.
+struct InstanceReport {
+  std::string address_;
+  // Time since the store last answered it.
+  Millis store_age_ms_ = 0;
+  // The delay with which it would claim; the smallest follows best.
+  Millis claim_delay_ms_ = 0;
+};
+
 class PeerClient {
  public:
   explicit PeerClient(HttpClient* client) : client_(client) {}
 
   // `on_refused` runs if the connection is refused at once: no process
   // listens there.
-  auto Report(const std::string& address, const std::string& own_address,
-              Millis store_age_ms, std::function<void()> on_refused) -> void;
+  auto Report(const std::string& address, const InstanceReport& report,
+              std::function<void()> on_refused) -> void;
+  auto AskToClaim(const std::string& address, std::int64_t owner_revision)
+      -> void;
   auto TellJob(const std::string& address, const JobRecord& job) -> void;
   auto TellCancel(const std::string& address, const std::string& id) -> void;
   // Calls back with nothing if the peer does not know the job or does not
