--- a/cmd/lentild.cc
+++ b/cmd/lentild.cc
@@ -71,7 +71,8 @@
 }
 
 auto OnPlatformSignal(uv_signal_t* handle, int /*number*/) -> void {
-  auto* platform = static_cast<lentilscale::platform::PlatformNode*>(handle->data);
+  auto* platform =
+      static_cast<lentilscale::platform::PlatformNode*>(handle->data);
   platform->node().Drain([handle] { uv_stop(handle->loop); });
 }
 
@@ -104,8 +105,9 @@
     return kExitPortTaken;
   }
   uv_signal_t signals[3];
-  const std::pair<int, uv_signal_cb> handlers[3] = {
-      {SIGTERM, OnPlatformSignal}, {SIGINT, OnPlatformSignal}, {SIGHUP, OnHangup}};
+  const std::pair<int, uv_signal_cb> handlers[3] = {{SIGTERM, OnPlatformSignal},
+                                                    {SIGINT, OnPlatformSignal},
+                                                    {SIGHUP, OnHangup}};
   for (auto i = 0; i < 3; ++i) {
     uv_signal_init(loop, &signals[i]);
     signals[i].data = platform->get();
--- a/fleet/advice_desk.cc
+++ b/fleet/advice_desk.cc
@@ -39,8 +39,9 @@
     }
   }
   const auto reserved =
-      live.size() == 1 ? 0
-                       : std::max<std::size_t>(1, live.size() / kReservedDivisor);
+      live.size() == 1
+          ? 0
+          : std::max<std::size_t>(1, live.size() / kReservedDivisor);
   const Helper* best = nullptr;
   for (std::size_t i = 0; i < live.size(); ++i) {
     const auto& helper = *live[i];
--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -76,7 +76,8 @@
 // that is accepted meanwhile comes by the watch.
 auto Dispatcher::ReadState() -> void {
   auto reads = std::make_shared<StateReads>();
-  const auto take = [this, reads, alive = is_alive_](ReadResult StateReads::*part) {
+  const auto take = [this, reads,
+                     alive = is_alive_](ReadResult StateReads::*part) {
     return [this, reads, alive, part](const ReadResult& result) {
       if (!*alive) {
         return;
@@ -114,7 +115,13 @@
     try {
       const auto body = ParseJson(record.value_);
       for (const auto& id : body["workers"].getMemberNames()) {
-        unclaimed_[id] = body["workers"][id].asString();
+        const auto& entry = body["workers"][id];
+        auto& worker = unclaimed_[id];
+        worker.service_ = entry["service"].asString();
+        worker.is_draining_ = entry["tasks"].isArray();
+        for (const auto& task : entry["tasks"]) {
+          worker.tasks_.insert(task.asString());
+        }
       }
     } catch (const Error& e) {
       LogEvent(Event::kBadRecord,
@@ -163,16 +170,16 @@
           }
           inbox_revision_ = std::max(inbox_revision_, result.revision_);
         } else if (result.status_ == StoreStatus::kCompacted) {
-          store_->ReadPrefix(kInboxPrefix, [this,
-                                            alive](const ReadResult& all) {
-            if (!*alive || all.status_ != StoreStatus::kOk) {
-              return;
-            }
-            for (const auto& record : all.records_) {
-              TakeInboxRecord(record, false);
-            }
-            inbox_revision_ = std::max(inbox_revision_, all.revision_);
-          });
+          store_->ReadPrefix(
+              kInboxPrefix, [this, alive](const ReadResult& all) {
+                if (!*alive || all.status_ != StoreStatus::kOk) {
+                  return;
+                }
+                for (const auto& record : all.records_) {
+                  TakeInboxRecord(record, false);
+                }
+                inbox_revision_ = std::max(inbox_revision_, all.revision_);
+              });
         }
         RunAfter(loop_, kWatchPauseMs, [this, alive] {
           if (*alive) {
@@ -193,8 +200,8 @@
   }
   const auto job = DecodeJob(record.value_);
   if (!job.ok()) {
-    LogEvent(Event::kBadRecord, {{"key", record.key_},
-                                 {"problem", job.status().ToString()}});
+    LogEvent(Event::kBadRecord,
+             {{"key", record.key_}, {"problem", job.status().ToString()}});
     return;
   }
   Insert(*job, is_recovered);
@@ -220,8 +227,8 @@
     if (decoded.ok()) {
       progress = *decoded;
     } else {
-      LogEvent(Event::kBadRecord, {{"key", it->first},
-                                   {"problem", decoded.status().ToString()}});
+      LogEvent(Event::kBadRecord,
+               {{"key", it->first}, {"problem", decoded.status().ToString()}});
     }
     revision = it->second.revision_;
   }
@@ -355,11 +362,26 @@
   if (key == kWorkersKey) {
     Json::Value body(Json::objectValue);
     body["workers"] = Json::Value(Json::objectValue);
-    for (const auto& [id, service] : unclaimed_) {
-      body["workers"][id] = service;
+    for (const auto& [id, worker] : unclaimed_) {
+      auto& entry = body["workers"][id];
+      entry["service"] = worker.service_;
+      if (worker.is_draining_) {
+        entry["tasks"] = Json::Value(Json::arrayValue);
+      }
+      for (const auto& task : worker.tasks_) {
+        entry["tasks"].append(task);
+      }
     }
     for (const auto& [id, worker] : workers_) {
-      body["workers"][id] = worker.entry_.service_;
+      auto& entry = body["workers"][id];
+      entry = Json::Value(Json::objectValue);
+      entry["service"] = worker.entry_.service_;
+      if (worker.is_claimed_ && worker.entry_.is_draining_) {
+        entry["tasks"] = Json::Value(Json::arrayValue);
+        for (const auto& [key, run] : worker.runs_) {
+          entry["tasks"].append(key.first);
+        }
+      }
     }
     return DumpJson(body);
   }
@@ -438,8 +460,8 @@
     return;
   }
   transaction.conditions_.push_back({kOwnerKey, rights_.owner_revision_});
-  store_->Commit(transaction, [this, dropped, alive = is_alive_](
-                                  const CommitResult& result) {
+  store_->Commit(transaction, [this, dropped,
+                               alive = is_alive_](const CommitResult& result) {
     if (!*alive || result.status_ != StoreStatus::kOk) {
       return;
     }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -102,10 +102,16 @@
 
  private:
   // Order of the waiting steps: priority, acceptance, identity.
-  using StepKey =
-      std::tuple<int, Millis, std::string, std::int64_t, int>;
+  using StepKey = std::tuple<int, Millis, std::string, std::int64_t, int>;
 
   // dispatcher.cc
+  // A worker of the previous owner, as its record names it.
+  struct UnclaimedWorker {
+    std::string service_;
+    // True if the worker was leaving: it got no more tasks than these.
+    bool is_draining_ = false;
+    std::set<std::string> tasks_;
+  };
   // What a new owner reads from the store.
   struct StateReads {
     ReadResult inbox_;
@@ -163,10 +169,13 @@
   auto StopRun(PlacedRun& run) -> void;
   auto SendStop(FleetWorker& worker, PlacedRun& run, Millis now_ms) -> void;
   auto StopGang(StepRun& step, std::int64_t run) -> void;
-  auto PaceFilling(FleetWorker& worker, const HoldResult& result,
-                   Millis now_ms) -> void;
+  auto PaceFilling(FleetWorker& worker, const HoldResult& result, Millis now_ms)
+      -> void;
   auto CheckWorkers(Millis now_ms) -> void;
-  auto IsServiceSettled(const std::string& service) const -> bool;
+  // Returns true if a task of a recovered job cannot be running on a worker
+  // that has not answered yet.
+  auto IsSettled(const std::string& service, const std::string& task) const
+      -> bool;
 
   // dispatcher_placement.cc
   auto RequestSchedule() -> void;
@@ -230,9 +239,8 @@
   // Cancellations of jobs that are not known yet.
   std::set<std::string> early_cancels_;
   std::map<std::string, FleetWorker> workers_;
-  // Workers of the previous owner by id, with their service, that have not
-  // been claimed yet.
-  std::map<std::string, std::string> unclaimed_;
+  // Workers of the previous owner that have not been claimed yet, by id.
+  std::map<std::string, UnclaimedWorker> unclaimed_;
   // Observed share of workers that the advice service allows, by queue.
   std::map<std::string, double> allowed_share_;
 
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -78,9 +78,6 @@
     if (queue == nullptr || step->job_->IsEnded()) {
       continue;
     }
-    if (step->job_->is_recovered() && !IsServiceSettled(queue->service_)) {
-      continue;
-    }
     const auto is_placed = step->step_->is_gang_
                                ? PlaceGang(*step, *queue, now)
                                : PlaceStep(*step, *queue, now);
@@ -99,10 +96,9 @@
     const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
     return queue->priority_ + wish.step_->fruitless_calls_;
   };
-  std::stable_sort(wishes_.begin(), wishes_.end(),
-                   [&](const Wish& a, const Wish& b) {
-                     return rank(a) < rank(b);
-                   });
+  std::stable_sort(
+      wishes_.begin(), wishes_.end(),
+      [&](const Wish& a, const Wish& b) { return rank(a) < rank(b); });
   for (const auto& wish : wishes_) {
     const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
     AskAdvice(*wish.step_, *queue, wish.needed_, now_ms);
@@ -150,12 +146,12 @@
                       : static_cast<double>(used) / static_cast<double>(whole);
   };
   const auto cpu = fraction(worker.used_.cpu_milli_, capacity.cpu_milli_);
-  auto score = need.demand_.accelerators_ > 0
-                   ? fraction(worker.used_.accelerators_,
-                              capacity.accelerators_) +
-                         cpu / 2
-                   : -std::max(cpu, fraction(worker.used_.memory_mb_,
-                                             capacity.memory_mb_));
+  auto score =
+      need.demand_.accelerators_ > 0
+          ? fraction(worker.used_.accelerators_, capacity.accelerators_) +
+                cpu / 2
+          : -std::max(cpu,
+                      fraction(worker.used_.memory_mb_, capacity.memory_mb_));
   if (!need.near_rack_.empty() && worker.Rack() == need.near_rack_) {
     score += kNearBonus;
   }
@@ -213,11 +209,17 @@
 auto Dispatcher::PlaceStep(StepRun& step, const Queue& queue, Millis now_ms)
     -> bool {
   auto unplaced = 0;
+  auto is_unsettled = false;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
     auto& task = step.tasks_[i];
     if (task.phase_ != Task::Phase::kWaiting) {
       continue;
     }
+    if (step.job_->is_recovered() &&
+        !IsSettled(queue.service_, step.IdOf(static_cast<int>(i)).ToString())) {
+      is_unsettled = true;
+      continue;
+    }
     if (!HasTeamRoom(step.job_->record().team_, step.step_->demand_)) {
       return false;
     }
@@ -234,7 +236,7 @@
     KeepRoom(step, queue, unplaced, now_ms);
     wishes_.push_back({&step, unplaced});
   }
-  return unplaced == 0;
+  return unplaced == 0 && !is_unsettled;
 }
 
 auto Dispatcher::PlaceGang(StepRun& step, const Queue& queue, Millis now_ms)
@@ -244,6 +246,12 @@
     // Members of an earlier run have not ended yet.
     return false;
   }
+  for (auto i = 0; i < count; ++i) {
+    if (step.job_->is_recovered() &&
+        !IsSettled(queue.service_, step.IdOf(i).ToString())) {
+      return false;
+    }
+  }
   Resources total;
   for (auto i = 0; i < count; ++i) {
     total += step.step_->demand_;
@@ -256,8 +264,8 @@
   std::vector<FleetWorker*> chosen;
   for (auto i = 0; i < count; ++i) {
     auto* worker =
-        FindWorker(step, queue, step.tasks_[static_cast<std::size_t>(i)].failed_on_,
-                   now_ms);
+        FindWorker(step, queue,
+                   step.tasks_[static_cast<std::size_t>(i)].failed_on_, now_ms);
     if (worker == nullptr) {
       break;
     }
@@ -346,8 +354,8 @@
   // The number of the step's tasks that a worker can take now.
   const auto places = [&](const FleetWorker& worker) {
     auto free = worker.FreeFor(step.Name(), queue.priority_);
-    auto most = step.step_->max_per_worker_ > 0 ? step.step_->max_per_worker_
-                                                : needed;
+    auto most =
+        step.step_->max_per_worker_ > 0 ? step.step_->max_per_worker_ : needed;
     auto taken = 0;
     while (taken < std::min(most, needed) && demand.FitsIn(free)) {
       free -= demand;
@@ -374,8 +382,8 @@
       covered += count;
       continue;
     }
-    options.push_back({&worker, count, step.allowed_.contains(id),
-                       Score(worker, step)});
+    options.push_back(
+        {&worker, count, step.allowed_.contains(id), Score(worker, step)});
   }
   if (options.empty() || (step.step_->is_gang_ && possible < needed)) {
     return;
@@ -386,10 +394,9 @@
                      std::tuple(!b.is_allowed_, -b.score_);
             });
   const auto share_it = allowed_share_.find(queue.name_);
-  const auto share =
-      std::max(kMinAllowedShare, share_it == allowed_share_.end()
-                                     ? kInitialAllowedShare
-                                     : share_it->second);
+  const auto share = std::max(kMinAllowedShare, share_it == allowed_share_.end()
+                                                    ? kInitialAllowedShare
+                                                    : share_it->second);
   AdviceQuestion question;
   auto extra = kExtraWorkers;
   for (const auto& option : options) {
@@ -414,10 +421,10 @@
   }
   question.step_ = step.Name();
   question.is_urgent_ = is_urgent;
-  question.expected_ms_ = static_cast<Millis>(
-      queue.advice_->decide_ms_ + queue.advice_->per_worker_ms_ *
-                                      static_cast<double>(
-                                          question.workers_.size()));
+  question.expected_ms_ =
+      static_cast<Millis>(queue.advice_->decide_ms_ +
+                          queue.advice_->per_worker_ms_ *
+                              static_cast<double>(question.workers_.size()));
   step.is_asking_advice_ = advice_->Ask(
       question, now_ms,
       [this, job = step.job_->record().id_, occurrence = step.occurrence_,
@@ -488,8 +495,9 @@
     }
   }
   const auto& queue = found->record().queue_;
-  const auto share = static_cast<double>(result.tickets_.size()) /
-                     static_cast<double>(std::max<std::size_t>(1, asked.size()));
+  const auto share =
+      static_cast<double>(result.tickets_.size()) /
+      static_cast<double>(std::max<std::size_t>(1, asked.size()));
   const auto it = allowed_share_.try_emplace(queue, kInitialAllowedShare).first;
   it->second += kShareSmoothing * (share - it->second);
 }
@@ -535,16 +543,16 @@
             {"worker", worker.entry_.id_},
             {"waited_ms", std::to_string(waited)},
             {"token", std::to_string(rights_.epoch_)}});
-  gateway_->Start(worker.entry_, order,
-                  [this, worker_id = worker.entry_.id_,
-                   service = worker.entry_.service_, id, run, now_ms,
-                   alive = is_alive_](const OrderResult& result) {
-                    if (*alive) {
-                      metrics_->Record(FleetLatency::kStartOrder, service,
-                                       static_cast<double>(BootMs() - now_ms));
-                      OnStartAnswer(worker_id, id, run, result);
-                    }
-                  });
+  gateway_->Start(
+      worker.entry_, order,
+      [this, worker_id = worker.entry_.id_, service = worker.entry_.service_,
+       id, run, now_ms, alive = is_alive_](const OrderResult& result) {
+        if (*alive) {
+          metrics_->Record(FleetLatency::kStartOrder, service,
+                           static_cast<double>(BootMs() - now_ms));
+          OnStartAnswer(worker_id, id, run, result);
+        }
+      });
 }
 
 auto Dispatcher::OnStartAnswer(const std::string& worker_id, const TaskId& id,
@@ -582,7 +590,8 @@
     return;
   }
   auto* job = FindJob(id.job_);
-  auto* step = job == nullptr ? nullptr : job->FindStep(id.occurrence_, id.step_);
+  auto* step =
+      job == nullptr ? nullptr : job->FindStep(id.occurrence_, id.step_);
   if (result.status_ == WorkerStatus::kBadTicket && step != nullptr) {
     step->tickets_.erase(worker_id);
   } else if (result.status_ != WorkerStatus::kOldRun) {
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -74,24 +74,30 @@
       TakeEntry(*entry, record.revision_, now);
     }
   }
+  std::vector<std::string> left;
   for (auto& [id, worker] : workers_) {
     if (!listed.contains(id) && worker.is_listed_) {
       worker.is_listed_ = false;
       worker.unlisted_since_ms_ = now;
       // A draining worker whose entry goes while it is fresh has left, and all
       // that ran there has ended; an entry that lapsed proves nothing.
-      const auto has_left =
-          worker.entry_.is_draining_ &&
-          now - worker.entry_changed_ms_ < kFreshEntryMs;
-      LogEvent(Event::kFleetWorkerUnlisted,
-               {{"worker", id},
-                {"entry_age_ms", std::to_string(now - worker.entry_changed_ms_)},
-                {"has_left", has_left ? "true" : "false"}});
+      const auto has_left = worker.entry_.is_draining_ &&
+                            now - worker.entry_changed_ms_ < kFreshEntryMs;
+      LogEvent(
+          Event::kFleetWorkerUnlisted,
+          {{"worker", id},
+           {"entry_age_ms", std::to_string(now - worker.entry_changed_ms_)},
+           {"has_left", has_left ? "true" : "false"}});
       if (has_left) {
         OnLapsed(worker);
+        left.push_back(id);
       }
     }
   }
+  for (const auto& id : left) {
+    workers_.erase(id);
+    recorder_.MarkDirty(kWorkersKey);
+  }
   is_list_read_ = true;
   RequestSchedule();
 }
@@ -117,6 +123,7 @@
   auto& worker = it->second;
   if (entry.is_draining_ && !worker.entry_.is_draining_) {
     LogEvent(Event::kFleetWorkerDraining, {{"worker", entry.id_}});
+    recorder_.MarkDirty(kWorkersKey);
   }
   if (revision != worker.entry_revision_) {
     worker.entry_revision_ = revision;
@@ -174,11 +181,12 @@
         now + std::min(kMaxHoldRetryMs, kHoldRetryMs * worker.silent_calls_);
     if (worker.silent_calls_ == 2) {
       metrics_->Add(FleetCounter::kWorkersSilent);
-      LogEvent(Event::kFleetWorkerSilent,
-               {{"worker", id},
-                {"status", WorkerStatusName(result.status_)},
-                {"runs", std::to_string(worker.runs_.size())},
-                {"lapse_in_ms", std::to_string(worker.latest_lapse_ms_ - now)}});
+      LogEvent(
+          Event::kFleetWorkerSilent,
+          {{"worker", id},
+           {"status", WorkerStatusName(result.status_)},
+           {"runs", std::to_string(worker.runs_.size())},
+           {"lapse_in_ms", std::to_string(worker.latest_lapse_ms_ - now)}});
     }
     return;
   }
@@ -233,12 +241,11 @@
   auto* job = id.has_value() ? FindJob(id->job_) : nullptr;
   auto* step =
       job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
-  LogEvent(Event::kFleetRunEnded,
-           {{"task", end.run_.task_},
-            {"run", std::to_string(end.run_.run_)},
-            {"end", RunEndName(end.end_)},
-            {"worker", worker.entry_.id_},
-            {"number", std::to_string(end.number_)}});
+  LogEvent(Event::kFleetRunEnded, {{"task", end.run_.task_},
+                                   {"run", std::to_string(end.run_.run_)},
+                                   {"end", RunEndName(end.end_)},
+                                   {"worker", worker.entry_.id_},
+                                   {"number", std::to_string(end.number_)}});
   UnrecordedEnd unrecorded{end.number_, "", 0};
   if (job != nullptr && !job->IsEnded() && step != nullptr &&
       job->FindTask(*id) != nullptr) {
@@ -493,32 +500,33 @@
   LogEvent(Event::kFleetRunStopping, {{"task", ref.task_},
                                       {"run", std::to_string(ref.run_)},
                                       {"worker", worker.entry_.id_}});
-  gateway_->Stop(
-      worker.entry_, ref, rights_.epoch_,
-      [this, id = worker.entry_.id_, ref,
-       alive = is_alive_](const OrderResult& result) {
-        if (!*alive) {
-          return;
-        }
-        const auto it = workers_.find(id);
-        auto* placed = it == workers_.end()
-                           ? nullptr
-                           : it->second.Find(ref.task_, ref.run_);
-        if (placed == nullptr) {
-          return;
-        }
-        placed->is_stop_sent_ = false;
-        if (result.status_ == WorkerStatus::kFenced) {
-          hooks_.step_down_(fmt::format("worker {} has seen a higher token", id));
-          return;
-        }
-        if (result.status_ == WorkerStatus::kOk ||
-            result.status_ == WorkerStatus::kOldRun) {
-          // The worker will not begin this run any more; a list that is asked
-          // for after the stop's longest time shows whether it is gone.
-          placed->settled_ms_ = BootMs() + options_.stop_ms_;
-        }
-      });
+  gateway_->Stop(worker.entry_, ref, rights_.epoch_,
+                 [this, id = worker.entry_.id_, ref,
+                  alive = is_alive_](const OrderResult& result) {
+                   if (!*alive) {
+                     return;
+                   }
+                   const auto it = workers_.find(id);
+                   auto* placed = it == workers_.end()
+                                      ? nullptr
+                                      : it->second.Find(ref.task_, ref.run_);
+                   if (placed == nullptr) {
+                     return;
+                   }
+                   placed->is_stop_sent_ = false;
+                   if (result.status_ == WorkerStatus::kFenced) {
+                     hooks_.step_down_(
+                         fmt::format("worker {} has seen a higher token", id));
+                     return;
+                   }
+                   if (result.status_ == WorkerStatus::kOk ||
+                       result.status_ == WorkerStatus::kOldRun) {
+                     // The worker will not begin this run any more; a list that
+                     // is asked for after the stop's longest time shows whether
+                     // it is gone.
+                     placed->settled_ms_ = BootMs() + options_.stop_ms_;
+                   }
+                 });
 }
 
 auto Dispatcher::PaceFilling(FleetWorker& worker, const HoldResult& result,
@@ -530,8 +538,8 @@
   for (const auto& running : result.running_) {
     const auto* run = worker.Find(running.run_.task_, running.run_.run_);
     if (run != nullptr && run->tail_target_ms_ > 0) {
-      worst = std::max(worst, running.load_ /
-                                  static_cast<double>(run->tail_target_ms_));
+      worst = std::max(
+          worst, running.load_ / static_cast<double>(run->tail_target_ms_));
     }
   }
   for (auto& [key, run] : worker.runs_) {
@@ -602,12 +610,15 @@
   }
 }
 
-auto Dispatcher::IsServiceSettled(const std::string& service) const -> bool {
+auto Dispatcher::IsSettled(const std::string& service,
+                           const std::string& task) const -> bool {
   return is_list_read_ &&
-         std::none_of(unclaimed_.begin(), unclaimed_.end(),
-                      [&](const auto& entry) {
-                        return entry.second == service || entry.second.empty();
-                      });
+         std::none_of(
+             unclaimed_.begin(), unclaimed_.end(), [&](const auto& entry) {
+               const auto& worker = entry.second;
+               return worker.is_draining_ ? worker.tasks_.contains(task)
+                                          : worker.service_ == service;
+             });
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -118,34 +118,33 @@
 }
 
 auto Election::WatchOwner() -> void {
-  store_->Watch(kOwnerKey, watch_revision_, kWatchWaitMs,
-                [this, alive = is_alive_](const ReadResult& result) {
-                  if (!*alive) {
-                    return;
-                  }
-                  NoteAnswer(result.status_, result.sent_ms_);
-                  if (result.status_ != StoreStatus::kOk ||
-                      watch_revision_ == 0) {
-                    // Missed history or a broken connection: read anew.
-                    RunAfter(loop_, kRetryMs, [this, alive] {
-                      if (*alive) {
-                        ReadOwner();
-                      }
-                    });
-                    return;
-                  }
-                  watch_revision_ =
-                      std::max(watch_revision_, result.revision_);
-                  for (const auto& record : result.records_) {
-                    if (record.key_ == kOwnerKey) {
-                      TakeOwner(record);
-                    }
-                  }
-                  if (result.records_.empty() && owner_.address_.empty()) {
-                    ConsiderClaim(0);
-                  }
-                  WatchOwner();
-                });
+  store_->Watch(
+      kOwnerKey, watch_revision_, kWatchWaitMs,
+      [this, alive = is_alive_](const ReadResult& result) {
+        if (!*alive) {
+          return;
+        }
+        NoteAnswer(result.status_, result.sent_ms_);
+        if (result.status_ != StoreStatus::kOk || watch_revision_ == 0) {
+          // Missed history or a broken connection: read anew.
+          RunAfter(loop_, kRetryMs, [this, alive] {
+            if (*alive) {
+              ReadOwner();
+            }
+          });
+          return;
+        }
+        watch_revision_ = std::max(watch_revision_, result.revision_);
+        for (const auto& record : result.records_) {
+          if (record.key_ == kOwnerKey) {
+            TakeOwner(record);
+          }
+        }
+        if (result.records_.empty() && owner_.address_.empty()) {
+          ConsiderClaim(0);
+        }
+        WatchOwner();
+      });
 }
 
 auto Election::TakeOwner(const Record& record) -> void {
@@ -165,16 +164,17 @@
   const auto is_changed = owner.revision_ != owner_.revision_;
   owner_ = owner;
   if (is_changed) {
-    LogEvent(Event::kFleetOwner, {{"instance", owner.instance_},
-                                  {"epoch", std::to_string(owner.epoch_)},
-                                  {"revision", std::to_string(owner.revision_)}});
+    LogEvent(Event::kFleetOwner,
+             {{"instance", owner.instance_},
+              {"epoch", std::to_string(owner.epoch_)},
+              {"revision", std::to_string(owner.revision_)}});
     hooks_.on_owner_changed_();
   }
   if (IsOwner() && owner.revision_ != rights_.owner_revision_) {
     StepDown("the store names another owner");
   }
-  const auto is_own_past = !IsOwner() && !is_claiming_ &&
-                           owner.instance_ == options_.instance_;
+  const auto is_own_past =
+      !IsOwner() && !is_claiming_ && owner.instance_ == options_.instance_;
   if (owner.address_.empty() || is_own_past) {
     // An earlier process of this instance cannot come back.
     ConsiderClaim(ClaimDelayMs());
@@ -246,28 +246,28 @@
     }
     CommitClaim(answers->lease_, number + 1, revision);
   };
-  store_->GrantLease(options_.ttl_ms_, [this, answers, on_both,
-                                        alive = is_alive_](
-                                           const LeaseResult& result) {
-    if (!*alive) {
-      return;
-    }
-    NoteAnswer(result.status_, result.sent_ms_);
-    answers->lease_ = result;
-    if (--answers->open_ == 0) {
-      on_both();
-    }
-  });
-  store_->Read(kEpochKey, [answers, on_both,
-                           alive = is_alive_](const ReadResult& result) {
-    if (!*alive) {
-      return;
-    }
-    answers->epoch_ = result;
-    if (--answers->open_ == 0) {
-      on_both();
-    }
-  });
+  store_->GrantLease(
+      options_.ttl_ms_,
+      [this, answers, on_both, alive = is_alive_](const LeaseResult& result) {
+        if (!*alive) {
+          return;
+        }
+        NoteAnswer(result.status_, result.sent_ms_);
+        answers->lease_ = result;
+        if (--answers->open_ == 0) {
+          on_both();
+        }
+      });
+  store_->Read(kEpochKey,
+               [answers, on_both, alive = is_alive_](const ReadResult& result) {
+                 if (!*alive) {
+                   return;
+                 }
+                 answers->epoch_ = result;
+                 if (--answers->open_ == 0) {
+                   on_both();
+                 }
+               });
 }
 
 auto Election::CommitClaim(const LeaseResult& granted, std::int64_t epoch,
@@ -335,8 +335,8 @@
     return;
   }
   is_keeping_ = true;
-  store_->KeepLease(lease_, [this, lease = lease_, alive = is_alive_](
-                                const LeaseResult& result) {
+  store_->KeepLease(lease_, [this, lease = lease_,
+                             alive = is_alive_](const LeaseResult& result) {
     if (!*alive) {
       return;
     }
@@ -357,8 +357,8 @@
   if (!IsOwner()) {
     return;
   }
-  LogEvent(Event::kFleetDeposed, {{"epoch", std::to_string(rights_.epoch_)},
-                                  {"reason", reason}});
+  LogEvent(Event::kFleetDeposed,
+           {{"epoch", std::to_string(rights_.epoch_)}, {"reason", reason}});
   rights_ = DispatchRights{};
   store_->EndLease(lease_);
   lease_ = 0;
--- a/fleet/fleet_metrics.cc
+++ b/fleet/fleet_metrics.cc
@@ -38,9 +38,8 @@
 
 // Upper bounds of the buckets in milliseconds; the objectives of today's
 // queues lie between 300 ms and some 20 s.
-const std::vector<double> kBounds = {0,    5,    10,   20,    50,    100,  200,
-                                     500,  1000, 2000, 5000,  10000, 20000,
-                                     50000};
+const std::vector<double> kBounds = {
+    0, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000, 50000};
 constexpr std::size_t kMaxLabels = 64;
 constexpr const char* kOtherLabel = "other";
 
@@ -102,9 +101,9 @@
       double total = 0;
       for (auto bin = 0; bin < histogram.axis(0).size(); ++bin) {
         total += histogram.at(bin);
-        out += fmt::format(
-            "lentilscale_{}_bucket{{{}=\"{}\",le=\"{}\"}} {}\n", name,
-            label_name, label, histogram.axis(0).bin(bin).upper(), total);
+        out += fmt::format("lentilscale_{}_bucket{{{}=\"{}\",le=\"{}\"}} {}\n",
+                           name, label_name, label,
+                           histogram.axis(0).bin(bin).upper(), total);
       }
       total += histogram.at(histogram.axis(0).size());
       out += fmt::format(
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -33,8 +33,7 @@
 // Time kept between the end of draining and the platform's kill.
 constexpr Millis kExitMarginMs = 700;
 
-auto SplitAddress(const std::string& address)
-    -> std::pair<std::string, int> {
+auto SplitAddress(const std::string& address) -> std::pair<std::string, int> {
   const auto colon = address.rfind(':');
   if (colon == std::string::npos) {
     return {address, 0};
@@ -63,10 +62,9 @@
     -> absl::StatusOr<std::unique_ptr<FleetNode>> {
   auto node = std::unique_ptr<FleetNode>(new FleetNode(loop, options, ports));
   auto* raw = node.get();
-  node->config_ =
-      std::make_unique<ConfigFeed>(loop, ports.store_,
-                                   options.configuration_key_,
-                                   ports.parse_configuration_);
+  node->config_ = std::make_unique<ConfigFeed>(loop, ports.store_,
+                                               options.configuration_key_,
+                                               ports.parse_configuration_);
   node->front_ = std::make_unique<FrontDesk>(
       loop, ports.store_, node->config_.get(), ports.formats_,
       node->MakeOwnerLink(), options.max_config_age_ms_, &node->metrics_);
@@ -155,42 +153,42 @@
 }
 
 auto FleetNode::MakeOwnerLink() -> OwnerLink {
-  return {
-      [this](const JobRecord& job) {
-        if (dispatcher_ != nullptr) {
-          dispatcher_->AddJob(job);
-        } else if (!election_->owner().address_.empty()) {
-          peers_.TellJob(election_->owner().address_, job);
-        }
-      },
-      [this](const std::string& id) {
-        if (dispatcher_ != nullptr) {
-          dispatcher_->CancelJob(id);
-        } else if (!election_->owner().address_.empty()) {
-          peers_.TellCancel(election_->owner().address_, id);
-        }
-      },
-      [this](const std::string& id,
-             std::function<void(std::optional<JobState>)> callback) {
-        if (dispatcher_ != nullptr) {
-          callback(dispatcher_->StateOf(id));
-        } else if (!election_->owner().address_.empty()) {
-          peers_.AskState(election_->owner().address_, id, std::move(callback));
-        } else {
-          callback(std::nullopt);
-        }
-      },
-      [this](const std::string& queue,
-             std::function<void(std::optional<std::int64_t>)> callback) {
-        if (dispatcher_ != nullptr) {
-          callback(dispatcher_->Pending(queue));
-        } else if (!election_->owner().address_.empty()) {
-          peers_.AskPending(election_->owner().address_, queue,
-                            std::move(callback));
-        } else {
-          callback(std::nullopt);
-        }
-      }};
+  return {[this](const JobRecord& job) {
+            if (dispatcher_ != nullptr) {
+              dispatcher_->AddJob(job);
+            } else if (!election_->owner().address_.empty()) {
+              peers_.TellJob(election_->owner().address_, job);
+            }
+          },
+          [this](const std::string& id) {
+            if (dispatcher_ != nullptr) {
+              dispatcher_->CancelJob(id);
+            } else if (!election_->owner().address_.empty()) {
+              peers_.TellCancel(election_->owner().address_, id);
+            }
+          },
+          [this](const std::string& id,
+                 std::function<void(std::optional<JobState>)> callback) {
+            if (dispatcher_ != nullptr) {
+              callback(dispatcher_->StateOf(id));
+            } else if (!election_->owner().address_.empty()) {
+              peers_.AskState(election_->owner().address_, id,
+                              std::move(callback));
+            } else {
+              callback(std::nullopt);
+            }
+          },
+          [this](const std::string& queue,
+                 std::function<void(std::optional<std::int64_t>)> callback) {
+            if (dispatcher_ != nullptr) {
+              callback(dispatcher_->Pending(queue));
+            } else if (!election_->owner().address_.empty()) {
+              peers_.AskPending(election_->owner().address_, queue,
+                                std::move(callback));
+            } else {
+              callback(std::nullopt);
+            }
+          }};
 }
 
 auto FleetNode::OnElected(const DispatchRights& rights) -> void {
@@ -239,25 +237,24 @@
       for (const auto& worker : GetArray(body, "workers")) {
         workers.push_back(worker.asString());
       }
-      ports_.advice_->Ask(
-          RequireString(body, "step"), workers,
-          GetInt(body, "expected_ms", 0, 0, 60000),
-          [reply](const AdviceResult& result) {
-            if (!result.is_answered_) {
-              reply->Send(503, "{}");
-              return;
-            }
-            Json::Value answer(Json::objectValue);
-            answer["tickets"] = Json::Value(Json::arrayValue);
-            for (const auto& ticket : result.tickets_) {
-              Json::Value row(Json::arrayValue);
-              row.append(ticket.worker_id_);
-              row.append(ticket.text_);
-              answer["tickets"].append(row);
-            }
-            answer["valid_ms"] = Json::Int64{result.valid_ms_};
-            reply->Send(200, DumpJson(answer));
-          });
+      ports_.advice_->Ask(RequireString(body, "step"), workers,
+                          GetInt(body, "expected_ms", 0, 0, 60000),
+                          [reply](const AdviceResult& result) {
+                            if (!result.is_answered_) {
+                              reply->Send(503, "{}");
+                              return;
+                            }
+                            Json::Value answer(Json::objectValue);
+                            answer["tickets"] = Json::Value(Json::arrayValue);
+                            for (const auto& ticket : result.tickets_) {
+                              Json::Value row(Json::arrayValue);
+                              row.append(ticket.worker_id_);
+                              row.append(ticket.text_);
+                              answer["tickets"].append(row);
+                            }
+                            answer["valid_ms"] = Json::Int64{result.valid_ms_};
+                            reply->Send(200, DumpJson(answer));
+                          });
       return;
     }
     if (request.path_ == "/peer/claim") {
@@ -274,8 +271,8 @@
       advice_.NoteHelper(address, BootMs());
       election_->NotePeerStoreAge(
           address, GetInt(body, "store_age_ms", 0, 0, INT64_MAX));
-      successors_[address] = {
-          BootMs(), GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
+      successors_[address] = {BootMs(),
+                              GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
     } else if (request.path_ == "/peer/job") {
       const auto job = DecodeJob(RequireString(body, "job"));
       if (!job.ok()) {
@@ -312,7 +309,8 @@
     return;
   }
   is_draining_ = true;
-  LogEvent(Event::kStopping, {{"owner", election_->IsOwner() ? "true" : "false"}});
+  LogEvent(Event::kStopping,
+           {{"owner", election_->IsOwner() ? "true" : "false"}});
   election_->PrepareToStop();
   HandOver();
   FinishDrain(BootMs(), done);
@@ -350,9 +348,9 @@
     client_server_->StopAccepting();
     const auto is_out_of_time = elapsed >= options_.grace_ms_ - kExitMarginMs;
     if (client_server_->open_requests() == 0 || is_out_of_time) {
-      LogEvent(Event::kStopped,
-               {{"open_requests",
-                 std::to_string(client_server_->open_requests())}});
+      LogEvent(
+          Event::kStopped,
+          {{"open_requests", std::to_string(client_server_->open_requests())}});
       done();
       return;
     }
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -115,9 +115,9 @@
 }
 
 auto FleetWorker::HasLabel(const std::string& label) const -> bool {
-  return label.empty() || std::find(entry_.labels_.begin(),
-                                    entry_.labels_.end(),
-                                    label) != entry_.labels_.end();
+  return label.empty() ||
+         std::find(entry_.labels_.begin(), entry_.labels_.end(), label) !=
+             entry_.labels_.end();
 }
 
 auto FleetWorker::Rack() const -> std::string {
--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -25,9 +25,8 @@
 
 auto IsJobId(const std::string& id) -> bool {
   return id.size() == kIdLength &&
-         std::all_of(id.begin(), id.end(), [](unsigned char c) {
-           return std::isxdigit(c) != 0;
-         });
+         std::all_of(id.begin(), id.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
 }
 
 }  // namespace
@@ -45,8 +44,7 @@
       metrics_(metrics) {}
 
 auto FrontDesk::IsReady() const -> bool {
-  return config_->current() != nullptr &&
-         config_->AgeMs() < max_config_age_ms_;
+  return config_->current() != nullptr && config_->AgeMs() < max_config_age_ms_;
 }
 
 auto FrontDesk::Refuse(const Reply& reply, int status, const std::string& id,
@@ -130,8 +128,7 @@
   transaction.conditions_ = {{JobKey(job.id_), 0}};
   transaction.puts_ = {{JobKey(job.id_), EncodeJob(job), 0}};
   store_->Commit(transaction, [this, job, give_up_ms, is_unsure, reply,
-                               sent_ms =
-                                   BootMs()](const CommitResult& result) {
+                               sent_ms = BootMs()](const CommitResult& result) {
     if (result.status_ == StoreStatus::kOk ||
         result.status_ == StoreStatus::kConflict) {
       silent_since_ms_ = 0;
@@ -253,15 +250,14 @@
 }
 
 auto FrontDesk::ShowPending(const Queue& queue, Reply reply) -> void {
-  owner_.ask_pending_(
-      queue.name_, [this, name = queue.name_,
-                    reply](std::optional<std::int64_t> jobs) {
-        if (jobs.has_value()) {
-          reply->Send(200, formats_.pending_(*jobs));
-        } else {
-          Refuse(reply, 503, name, "the owner of the fleet does not answer");
-        }
-      });
+  owner_.ask_pending_(queue.name_, [this, name = queue.name_,
+                                    reply](std::optional<std::int64_t> jobs) {
+    if (jobs.has_value()) {
+      reply->Send(200, formats_.pending_(*jobs));
+    } else {
+      Refuse(reply, 503, name, "the owner of the fleet does not answer");
+    }
+  });
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/front_desk.h
+++ b/fleet/front_desk.h
@@ -92,8 +92,9 @@
   OwnerLink owner_;
   Millis max_config_age_ms_;
   FleetMetrics* metrics_;
-  // When the latest write without an answer was sent; 0 after one that was answered. While the
-  // store is silent, new writes would only end with an unknown outcome.
+  // When the latest write without an answer was sent; 0 after one that was
+  // answered. While the store is silent, new writes would only end with an
+  // unknown outcome.
   Millis silent_since_ms_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -103,7 +103,9 @@
   auto record() const -> const JobRecord& { return record_; }
   auto is_recovered() const -> bool { return is_recovered_; }
   auto state() const -> JobState { return progress_.state_; }
-  auto IsEnded() const -> bool { return progress_.state_ >= JobState::kCompleted; }
+  auto IsEnded() const -> bool {
+    return progress_.state_ >= JobState::kCompleted;
+  }
 
   // Creates the occurrences that are due by `wall_ms`, and the only one of a
   // job without due times. Returns the steps that became ready.
--- a/fleet/job_record.cc
+++ b/fleet/job_record.cc
@@ -202,7 +202,8 @@
     for (const auto& task : checkpoints.getMemberNames()) {
       progress.checkpoints_[task] = checkpoints[task].asString();
     }
-    progress.occurrences_done_ = GetInt(object, "occurrences", 0, 0, kMaxAmount);
+    progress.occurrences_done_ =
+        GetInt(object, "occurrences", 0, 0, kMaxAmount);
     return progress;
   } catch (const std::exception& e) {
     return absl::InvalidArgumentError(e.what());
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -11,8 +11,8 @@
 //   /peer/advise   asks the instance to ask the advice service
 //
 // Only the owner answers the first five; others answer 409. Reports carry the
-// age of the process and its distance from the store, by which the owner chooses
-// its successor.
+// age of the process and its distance from the store, by which the owner
+// chooses its successor.
 
 #ifndef LENTILSCALE_FLEET_PEER_CLIENT_H_
 #define LENTILSCALE_FLEET_PEER_CLIENT_H_
--- a/fleet/progress_recorder.cc
+++ b/fleet/progress_recorder.cc
@@ -41,7 +41,8 @@
   if (!state.is_in_flight_) {
     dirty_.insert(key);
   }
-  Schedule(std::max<Millis>(0, kMinIntervalMs - (MonotonicMs() - last_flush_ms_)));
+  Schedule(
+      std::max<Millis>(0, kMinIntervalMs - (MonotonicMs() - last_flush_ms_)));
   return state.version_;
 }
 
@@ -81,12 +82,12 @@
     }
     last_flush_ms_ = MonotonicMs();
     ++in_flight_;
-    store_->Commit(transaction,
-                   [this, batch, alive = is_alive_](const CommitResult& result) {
-                     if (*alive) {
-                       OnCommit(batch, result);
-                     }
-                   });
+    store_->Commit(transaction, [this, batch, alive = is_alive_](
+                                    const CommitResult& result) {
+      if (*alive) {
+        OnCommit(batch, result);
+      }
+    });
   }
 }
 
@@ -98,8 +99,7 @@
   std::map<std::string, std::int64_t> current;
   for (const auto& record : result.current_) {
     current[record.key_] = record.revision_;
-    is_owner |=
-        record.key_ == kOwnerKey && record.revision_ == owner_revision_;
+    is_owner |= record.key_ == kOwnerKey && record.revision_ == owner_revision_;
   }
   if (!is_owner) {
     hooks_.on_deposed_();
--- a/fleet/record_store.h
+++ b/fleet/record_store.h
@@ -4,7 +4,8 @@
 // transactions and leases. Platform adapters and test fakes implement this
 // class:
 //
-//   store->Commit({.conditions_ = {{"job/17", 0}}, .puts_ = {{"job/17", text}}},
+//   store->Commit({.conditions_ = {{"job/17", 0}}, .puts_ = {{"job/17",
+//   text}}},
 //                 [](const CommitResult& result) { ... });
 //
 // A write without an answer may have been done or may still be done later, so
--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -129,11 +129,10 @@
 }
 
 auto MakeHead(const HttpCall& call) -> std::string {
-  auto head =
-      fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
-                  call.method_, call.path_,
-                  call.host_.empty() ? call.address_ : call.host_,
-                  call.body_.size());
+  auto head = fmt::format(
+      "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", call.method_,
+      call.path_, call.host_.empty() ? call.address_ : call.host_,
+      call.body_.size());
   if (!call.bearer_.empty()) {
     head += fmt::format("Authorization: Bearer {}\r\n", call.bearer_);
   }
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -77,7 +77,8 @@
     {Event::kFleetWorkerSilent, "fleet_worker_silent", LogLevel::kWarning},
     {Event::kFleetWorkerLapsed, "fleet_worker_lapsed", LogLevel::kWarning},
     {Event::kFleetWorkerReborn, "fleet_worker_reborn", LogLevel::kWarning},
-    {Event::kFleetWorkerQuarantined, "fleet_worker_quarantined", LogLevel::kWarning},
+    {Event::kFleetWorkerQuarantined, "fleet_worker_quarantined",
+     LogLevel::kWarning},
     {Event::kFleetWorkerRemoved, "fleet_worker_removed", LogLevel::kInfo},
 });
 
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -111,7 +111,8 @@
     const auto until = MonotonicMs() + kPatienceMs;
     uv_timer_t* waker = new uv_timer_t;
     uv_timer_init(loop_, waker);
-    uv_timer_start(waker, [](uv_timer_t*) {}, 5, 5);
+    uv_timer_start(
+        waker, [](uv_timer_t*) {}, 5, 5);
     auto holds = condition();
     while (!holds && MonotonicMs() < until) {
       uv_run(loop_, UV_RUN_ONCE);
@@ -167,9 +168,8 @@
 
   auto State(std::size_t node, const std::string& id) -> std::string {
     const auto answer = Call(node, "GET", "/q/" + id);
-    return answer.status_ == 200
-               ? ParseJson(answer.body_)["state"].asString()
-               : std::to_string(answer.status_);
+    return answer.status_ == 200 ? ParseJson(answer.body_)["state"].asString()
+                                 : std::to_string(answer.status_);
   }
 
   auto WaitForState(std::size_t node, const std::string& id,
@@ -232,13 +232,13 @@
 BOOST_AUTO_TEST_CASE(a_job_runs_and_is_shown_at_every_instance) {
   Fleet fleet;
   fleet.Start(3, 3);
-  BOOST_TEST(fleet.Submit(1, kJob, "ms=50",
-                          {{4, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) ==
-             200);
+  BOOST_TEST(
+      fleet.Submit(1, kJob, "ms=50",
+                   {{4, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) == 200);
   BOOST_TEST(fleet.Submit(2, kJob, "ms=50", {{4}}) == 200);
   for (auto node = 0; node < 3; ++node) {
-    BOOST_TEST(fleet.WaitForState(static_cast<std::size_t>(node), kJob,
-                                  "completed"));
+    BOOST_TEST(
+        fleet.WaitForState(static_cast<std::size_t>(node), kJob, "completed"));
   }
   BOOST_TEST(fleet.platform().StartsOf(kJob) == 6);
   BOOST_TEST(fleet.Submit(0, kJob, "ms=50", {{4}}) == 200);
@@ -259,7 +259,8 @@
       {"POST", "/q/00000000000000b1", "{", "key-a", 400},
       {"POST", "/q/00000000000000b1", "[]", "key-a", 400},
       {"POST", "/q/00000000000000b1", R"({"spec":"x"})", "key-a", 400},
-      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":0}]})", "key-a", 400},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":0}]})", "key-a",
+       400},
       {"POST", "/q/00000000000000b1", R"({"steps":[{"count":1,"after":[0]}]})",
        "key-a", 400},
       {"POST", "/q/00000000000000b1", R"({"steps":[{"count":"x"}]})", "key-a",
@@ -267,7 +268,8 @@
       {"POST", "/q/short", R"({"steps":[{"count":1}]})", "key-a", 400},
       {"POST", "/none/00000000000000b1", "{}", "key-a", 404},
       {"GET", "/none/", "", "key-a", 404},
-      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":1}]})", "other", 401},
+      {"POST", "/q/00000000000000b1", R"({"steps":[{"count":1}]})", "other",
+       401},
       {"GET", "/q/00000000000000b1", "", "", 401},
       {"GET", "/q/00000000000000b1", "", "key-a", 410},
       {"DELETE", "/q/00000000000000b1", "", "key-a", 410},
@@ -314,11 +316,11 @@
   const auto owner = fleet.OwnerNode();
   const auto other = (owner + 1) % 3;
   BOOST_TEST(fleet.Submit(other, kJob, "ms=3500", {{6, 1000, 0, ""}}) == 200);
-  BOOST_TEST(fleet.Submit(other, "00000000000000a3", "ms=100",
-                          {{12, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) ==
-             200);
-  BOOST_TEST(fleet.RunUntil(
-      [&] { return fleet.platform().RunningOf(kJob) == 6; }));
+  BOOST_TEST(fleet.Submit(
+                 other, "00000000000000a3", "ms=100",
+                 {{12, 1000, 0, ""}, {2, 1000, 0, R"(,"after":[0])"}}) == 200);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 6; }));
   fleet.KillNode(owner);
   BOOST_TEST(fleet.WaitForState(other, "00000000000000a3", "completed"));
   BOOST_TEST(fleet.WaitForState(other, kJob, "completed"));
@@ -504,9 +506,8 @@
   BOOST_TEST(fleet.Call(0, "GET", "/q/", "", "key-b").status_ == 200);
   // Without the store nobody knows whether the key still holds.
   fleet.platform().store().SetMode(EmulatedStore::Mode::kSilent);
-  BOOST_TEST(fleet.RunUntil([&] {
-    return fleet.Call(0, "GET", "/q/", "", "key-b").status_ == 503;
-  }));
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.Call(0, "GET", "/q/", "", "key-b").status_ == 503; }));
   BOOST_TEST(!fleet.Ready(0));
 }
 
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -2,6 +2,8 @@
 // cut one by its length, and keep the connection after a refusal.
 
 #define BOOST_TEST_MODULE http_server
+#include "lentilscale/http_server.h"
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -13,8 +15,6 @@
 #include <string>
 #include <thread>
 
-#include "lentilscale/http_server.h"
-
 namespace lentilscale {
 namespace {
 
@@ -28,8 +28,8 @@
   addr.sin_family = AF_INET;
   addr.sin_port = htons(static_cast<std::uint16_t>(port));
   addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  BOOST_REQUIRE(
-      connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) == 0);
+  BOOST_REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) ==
+                0);
   BOOST_REQUIRE(send(fd, requests.data(), requests.size(), 0) ==
                 static_cast<ssize_t>(requests.size()));
   std::string out;
@@ -111,8 +111,8 @@
   BOOST_TEST(allowed.starts_with("HTTP/1.1 200 OK"));
   const auto refused = ExchangeWithServer(
       Get("/200", "X-A: " + std::string(65536, 'a') + "\r\n"));
-  BOOST_TEST(refused.starts_with(
-      "HTTP/1.1 431 Request Header Fields Too Large\r\n"));
+  BOOST_TEST(
+      refused.starts_with("HTTP/1.1 431 Request Header Fields Too Large\r\n"));
 }
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_not_http_are_refused) {
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -51,8 +51,9 @@
 auto Figure(const std::string& spec, const std::string& name,
             std::int64_t fallback) -> std::int64_t {
   const auto at = spec.find(name + "=");
-  return at == std::string::npos ? fallback
-                                 : std::atoll(spec.c_str() + at + name.size() + 1);
+  return at == std::string::npos
+             ? fallback
+             : std::atoll(spec.c_str() + at + name.size() + 1);
 }
 
 auto JobOf(const std::string& task) -> std::string {
@@ -225,8 +226,8 @@
       return;
     }
     const auto wait = std::atoll(request.QueryParam("wait_ms", "0").c_str());
-    watchers_.push_back({request.QueryParam("prefix", ""), after,
-                         MonotonicMs() + wait, reply});
+    watchers_.push_back(
+        {request.QueryParam("prefix", ""), after, MonotonicMs() + wait, reply});
     AnswerWatchers();
   } else if (request.path_ == "/kv-txn") {
     HandleTransaction(ParseJson(request.body_), reply);
@@ -385,9 +386,10 @@
     return;
   }
   const auto carry_out = [this, path = request.path_, body] {
-    return path == "/run-start"  ? HandleStart(body)
-           : path == "/run-stop" ? HandleStop(body)
-                                 : std::pair(200, Json::Value(Json::objectValue));
+    return path == "/run-start" ? HandleStart(body)
+           : path == "/run-stop"
+               ? HandleStop(body)
+               : std::pair(200, Json::Value(Json::objectValue));
   };
   if (request.path_ == "/run-start" && late_starts_ > 0) {
     --late_starts_;
@@ -429,20 +431,20 @@
     refusal["reason"] = "late";
     return {409, refusal};
   }
-  deadline_ms_ = std::max(deadline_ms_,
-                          std::min(body["deadline_ms"].asInt64(),
-                                   ClockMs() + kMaxHoldMs));
+  deadline_ms_ = std::max(deadline_ms_, std::min(body["deadline_ms"].asInt64(),
+                                                 ClockMs() + kMaxHoldMs));
   platform_->JudgeStart(*this, task);
   const auto spec = body["spec"].asString();
   const auto demand = platform_->demands_[JobOf(task)];
-  Run started{run,
-              demand.first,
-              demand.second,
-              Figure(spec, "ms", 100),
-              MonotonicMs(),
-              MonotonicMs(),
-              static_cast<int>(Figure(spec, "gang", 0)),
-              is_failing_ || platform_->failures_[task] < Figure(spec, "fail", 0)};
+  Run started{
+      run,
+      demand.first,
+      demand.second,
+      Figure(spec, "ms", 100),
+      MonotonicMs(),
+      MonotonicMs(),
+      static_cast<int>(Figure(spec, "gang", 0)),
+      is_failing_ || platform_->failures_[task] < Figure(spec, "fail", 0)};
   if (started.gang_ > 0) {
     started.begun_ms_ = 0;
   }
@@ -510,12 +512,12 @@
   std::erase_if(ended_,
                 [&](const End& end) { return end.number_ <= last_seen; });
   if (body.isMember("deadline_ms")) {
-    deadline_ms_ = std::max(deadline_ms_,
-                            std::min(body["deadline_ms"].asInt64(),
-                                     ClockMs() + kMaxHoldMs));
+    deadline_ms_ = std::max(
+        deadline_ms_,
+        std::min(body["deadline_ms"].asInt64(), ClockMs() + kMaxHoldMs));
   }
-  waiting_.push_back({last_seen, MonotonicMs() + body["wait_ms"].asInt64(),
-                      reply});
+  waiting_.push_back(
+      {last_seen, MonotonicMs() + body["wait_ms"].asInt64(), reply});
   Tick(MonotonicMs());
 }
 
@@ -601,8 +603,7 @@
 auto PlatformEmulator::AddWorker(const std::string& id,
                                  const std::string& service,
                                  std::int64_t cpu_milli,
-                                 std::int64_t accelerators)
-    -> EmulatedWorker& {
+                                 std::int64_t accelerators) -> EmulatedWorker& {
   auto& worker = workers_[id];
   worker = std::make_unique<EmulatedWorker>(this, id, service, cpu_milli,
                                             accelerators);
@@ -662,9 +663,8 @@
   }
   for (const auto& [id, other] : workers_) {
     if (other->running_.contains(task)) {
-      violations_.push_back(
-          fmt::format("{} starts on {} while it runs on {}", task, worker.id_,
-                      id));
+      violations_.push_back(fmt::format("{} starts on {} while it runs on {}",
+                                        task, worker.id_, id));
     }
   }
 }
