--- /dev/null
+++ b/testing/fleet_parts_test.cc
@@ -0,0 +1,317 @@
+// The fleet scheduler's parts by themselves: the memory of a job, the lease of
+// a worker, and the record of progress.
+
+#define BOOST_TEST_MODULE fleet_parts
+#include <uv.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_metrics.h"
+#include "fleet/fleet_worker.h"
+#include "fleet/job.h"
+#include "fleet/progress_recorder.h"
+#include "fleet/store_keys.h"
+#include "lentilscale/log.h"
+
+namespace lentilscale::fleet {
+namespace {
+
+auto MakeRecord(std::vector<Step> steps) -> JobRecord {
+  JobRecord record;
+  record.id_ = "00000000000000a1";
+  record.queue_ = "q";
+  record.steps_ = std::move(steps);
+  return record;
+}
+
+auto MakeStep(int count, std::vector<int> after = {}) -> Step {
+  Step step;
+  step.count_ = count;
+  step.demand_.cpu_milli_ = 1000;
+  step.after_ = std::move(after);
+  return step;
+}
+
+// A store whose answers a test gives by hand.
+class ManualStore : public RecordStore {
+ public:
+  struct Pending {
+    Transaction transaction_;
+    CommitCallback callback_;
+  };
+  std::vector<Pending> pending_;
+
+  auto Read(const std::string&, ReadCallback) -> void override {}
+  auto ReadPrefix(const std::string&, ReadCallback) -> void override {}
+  auto Watch(const std::string&, std::int64_t, Millis, ReadCallback)
+      -> void override {}
+  auto Commit(const Transaction& transaction, CommitCallback callback)
+      -> void override {
+    pending_.push_back({transaction, std::move(callback)});
+  }
+  auto GrantLease(Millis, LeaseCallback) -> void override {}
+  auto KeepLease(std::int64_t, LeaseCallback) -> void override {}
+  auto EndLease(std::int64_t) -> void override {}
+
+  // Runs the loop until `count` transactions wait.
+  auto AwaitPending(std::size_t count) -> void {
+    while (pending_.size() < count) {
+      uv_run(uv_default_loop(), UV_RUN_ONCE);
+    }
+  }
+  auto Answer(const CommitResult& result) -> void {
+    const auto first = pending_.front();
+    pending_.erase(pending_.begin());
+    first.callback_(result);
+  }
+};
+
+struct Recording {
+  ManualStore store_;
+  std::vector<std::string> durable_;
+  bool is_deposed_ = false;
+  ProgressRecorder recorder_{
+      uv_default_loop(),
+      &store_,
+      7,
+      {[](const std::string& key) { return "text of " + key; },
+       [this](const std::vector<std::string>& keys) {
+         durable_.insert(durable_.end(), keys.begin(), keys.end());
+       },
+       [this] { is_deposed_ = true; }}};
+
+  Recording() { SetLogLevel(LogLevel::kError); }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(steps_become_ready_in_order) {
+  Job job(MakeRecord({MakeStep(2), MakeStep(1, {0}), MakeStep(1, {0, 1})}), {},
+          false);
+  const auto first = job.CreateDue(0, 0);
+  BOOST_REQUIRE_EQUAL(first.size(), 1U);
+  BOOST_TEST(first[0]->number_ == 0);
+  BOOST_TEST(job.MarkDone(*first[0], 0, 0).empty());
+  const auto second = job.MarkDone(*first[0], 1, 0);
+  BOOST_REQUIRE_EQUAL(second.size(), 1U);
+  BOOST_TEST(second[0]->number_ == 1);
+  const auto third = job.MarkDone(*second[0], 0, 0);
+  BOOST_REQUIRE_EQUAL(third.size(), 1U);
+  BOOST_TEST(job.MarkDone(*third[0], 0, 0).empty());
+  BOOST_TEST((job.state() == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(progress_survives_a_take_over) {
+  const auto record = MakeRecord({MakeStep(3), MakeStep(1, {0})});
+  Job job(record, {}, false);
+  auto* step = job.CreateDue(0, 0)[0];
+  job.MarkPlaced(*step, 0, 5, "w");
+  job.MarkDone(*step, 0, 0);
+  job.MarkFailed(*step, 1, 4, 3);
+  job.MarkFailed(*step, 1, 4, 3);
+  step->tasks_[2].checkpoint_ = "c";
+  const auto progress = DecodeProgress(EncodeProgress(job.Progress()));
+  BOOST_REQUIRE(progress.ok());
+
+  Job again(record, *progress, true);
+  auto* same = again.CreateDue(0, 0)[0];
+  BOOST_TEST((same->tasks_[0].phase_ == Task::Phase::kDone));
+  BOOST_TEST((same->tasks_[1].phase_ == Task::Phase::kWaiting));
+  BOOST_TEST(same->tasks_[2].checkpoint_ == "c");
+  // The run that was counted already does not count again.
+  again.MarkFailed(*same, 1, 4, 3);
+  again.MarkFailed(*same, 1, 5, 3);
+  BOOST_TEST(!again.IsEnded());
+  again.MarkFailed(*same, 1, 6, 3);
+  BOOST_TEST((again.state() == JobState::kFailed));
+}
+
+BOOST_AUTO_TEST_CASE(one_member_ends_the_whole_gang) {
+  auto step = MakeStep(3);
+  step.is_gang_ = true;
+  Job job(MakeRecord({step}), {}, false);
+  auto* run = job.CreateDue(0, 0)[0];
+  job.MarkDone(*run, 1, 0);
+  BOOST_TEST((job.state() == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(occurrences_appear_when_they_are_due) {
+  auto record = MakeRecord({MakeStep(1)});
+  record.repeat_count_ = 3;
+  record.first_due_ms_ = 1000;
+  record.interval_ms_ = 500;
+  Job job(record, {}, false);
+  BOOST_TEST(job.CreateDue(999, 0).empty());
+  BOOST_TEST(job.NextDueMs() == 1000);
+  const auto two = job.CreateDue(1500, 0);
+  BOOST_REQUIRE_EQUAL(two.size(), 2U);
+  // The later one may end first.
+  job.MarkDone(*two[1], 0, 0);
+  job.MarkDone(*two[0], 0, 0);
+  BOOST_TEST(!job.IsEnded());
+  const auto last = job.CreateDue(2000, 0);
+  BOOST_REQUIRE_EQUAL(last.size(), 1U);
+  job.MarkDone(*last[0], 0, 0);
+  BOOST_TEST((job.state() == JobState::kCompleted));
+}
+
+// After a take-over, runs of a job that has ended still take their room.
+BOOST_AUTO_TEST_CASE(the_shape_of_an_ended_jobs_tasks_is_known) {
+  ProgressRecord progress;
+  progress.state_ = JobState::kCancelled;
+  Job job(MakeRecord({MakeStep(2)}), progress, true);
+  const TaskId id{"00000000000000a1", 0, 0, 1};
+  BOOST_TEST(job.CreateDue(0, 0).empty());
+  BOOST_TEST(job.FindTask(id) == nullptr);
+  BOOST_REQUIRE(job.ShapeOf(id) != nullptr);
+  BOOST_TEST(job.ShapeOf(id)->demand_.cpu_milli_ == 1000);
+  BOOST_TEST(job.ShapeOf({"00000000000000a1", 0, 1, 0}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(task_names_are_read_strictly) {
+  BOOST_TEST(TaskId::FromString("ab.1.2.3")->ToString() == "ab.1.2.3");
+  for (const auto* text : {"", "ab", "ab.1.2", "ab.1.2.x", ".1.2.3", "a.1.2.3.4"}) {
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_TEST(!TaskId::FromString(text).has_value());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_must_have_lapsed_also_by_a_slow_clock) {
+  FleetWorker worker;
+  worker.ReadClock(50000, 1000);
+  // 200 ms after the reading, for 5 s: the worker's clock shows 55200 then.
+  BOOST_TEST(worker.GrantLease(1200, 5000) == 55200);
+  // A clock that runs at 0.98 gets there 5306 ms after the reading.
+  BOOST_TEST(worker.LatestLapseMs() >= 1000 + 5306);
+  const auto before = worker.LatestLapseMs();
+  // A shorter lease does not shorten what was granted.
+  worker.GrantLease(1200, 1000);
+  BOOST_TEST(worker.LatestLapseMs() == before);
+}
+
+BOOST_AUTO_TEST_CASE(room_is_what_capacity_runs_and_reservations_leave) {
+  FleetWorker worker;
+  worker.entry_.capacity_ = {0, 4000, 100, 2};
+  PlacedRun run;
+  run.task_ = {"a", 0, 0, 0};
+  run.run_ = 1;
+  run.demand_ = {0, 1000, 10, 1};
+  worker.Add(run);
+  BOOST_TEST(worker.FreeFor("s", 1).cpu_milli_ == 3000);
+  worker.reservations_["other"] = {{0, 2000, 0, 0}, 1};
+  BOOST_TEST(worker.FreeFor("s", 1).cpu_milli_ == 1000);
+  BOOST_TEST(worker.FreeFor("other", 1).cpu_milli_ == 3000);
+  BOOST_TEST(worker.FreeFor("urgent", 0).cpu_milli_ == 3000);
+  worker.kept_for_ = "large";
+  worker.kept_priority_ = 1;
+  BOOST_TEST(worker.FreeFor("s", 1).cpu_milli_ < 0);
+  BOOST_TEST(worker.FreeFor("large", 1).cpu_milli_ == 1000);
+  worker.Remove("a.0.0.0", 1);
+  BOOST_TEST(worker.used_.cpu_milli_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(filling_tasks_take_no_processors_of_the_capacity) {
+  auto step = MakeStep(1);
+  step.demand_.memory_mb_ = 5;
+  step.fills_ = true;
+  BOOST_TEST(CapacityDemand(step).cpu_milli_ == 0);
+  BOOST_TEST(CapacityDemand(step).memory_mb_ == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_durable_only_in_the_version_that_was_sent) {
+  Recording recording;
+  auto& recorder = recording.recorder_;
+  const auto first = recorder.MarkDirty("k");
+  recording.store_.AwaitPending(1);
+  const auto second = recorder.MarkDirty("k");
+  recording.store_.Answer({StoreStatus::kOk, 11, {}});
+  BOOST_TEST(recorder.IsDurable("k", first));
+  BOOST_TEST(!recorder.IsDurable("k", second));
+  recording.store_.AwaitPending(1);
+  // The second write is conditional on the first, and on the owner's record.
+  const auto& conditions =
+      recording.store_.pending_[0].transaction_.conditions_;
+  BOOST_REQUIRE_EQUAL(conditions.size(), 2U);
+  BOOST_TEST(conditions[0].key_ == kOwnerKey);
+  BOOST_TEST(conditions[0].revision_ == 7);
+  BOOST_TEST(conditions[1].revision_ == 11);
+  recording.store_.Answer({StoreStatus::kOk, 12, {}});
+  BOOST_TEST(recorder.IsDurable("k", second));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_write_is_repeated_under_the_revision_found) {
+  Recording recording;
+  const auto version = recording.recorder_.MarkDirty("k");
+  recording.store_.AwaitPending(1);
+  recording.store_.Answer({StoreStatus::kUnknown, 0, {}});
+  recording.store_.AwaitPending(1);
+  recording.store_.Answer(
+      {StoreStatus::kConflict, 0, {{kOwnerKey, "", 7}, {"k", "", 21}}});
+  BOOST_TEST(!recording.is_deposed_);
+  recording.store_.AwaitPending(1);
+  BOOST_TEST(
+      recording.store_.pending_[0].transaction_.conditions_[1].revision_ == 21);
+  BOOST_TEST(!recording.recorder_.IsDurable("k", version));
+  recording.store_.Answer({StoreStatus::kOk, 22, {}});
+  BOOST_TEST(recording.recorder_.IsDurable("k", version));
+}
+
+BOOST_AUTO_TEST_CASE(a_write_of_a_previous_owner_is_refused) {
+  Recording recording;
+  recording.recorder_.MarkDirty("k");
+  recording.store_.AwaitPending(1);
+  recording.store_.Answer({StoreStatus::kConflict, 0, {{kOwnerKey, "", 8}}});
+  BOOST_TEST(recording.is_deposed_);
+  BOOST_TEST(recording.durable_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(transactions_keep_within_the_stores_bound) {
+  Recording recording;
+  for (auto i = 0; i < 40; ++i) {
+    recording.recorder_.MarkDirty("k" + std::to_string(i));
+  }
+  recording.store_.AwaitPending(3);
+  for (const auto& pending : recording.store_.pending_) {
+    const auto& transaction = pending.transaction_;
+    BOOST_TEST(transaction.conditions_.size() + transaction.puts_.size() <=
+               kMaxTransactionEntries);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(metrics_are_prometheus_text) {
+  FleetMetrics metrics;
+  metrics.Add(FleetCounter::kStarts);
+  metrics.Record(FleetLatency::kAccept, "q", 7);
+  metrics.Record(FleetLatency::kAccept, "q", 1e9);
+  const auto text = metrics.Text({{"workers", 3}});
+  std::istringstream lines(text);
+  auto samples = 0;
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("# TYPE lentilscale_")) {
+      continue;
+    }
+    BOOST_TEST_CONTEXT(line) {
+      const auto space = line.rfind(' ');
+      BOOST_REQUIRE(space != std::string::npos);
+      std::size_t used = 0;
+      (void)std::stod(line.substr(space + 1), &used);
+      BOOST_TEST(used == line.size() - space - 1);
+      BOOST_TEST(line.starts_with("lentilscale_"));
+      ++samples;
+    }
+  }
+  BOOST_TEST(samples > 20);
+  BOOST_TEST(text.find("lentilscale_starts_total 1\n") != std::string::npos);
+  BOOST_TEST(text.find("lentilscale_workers 3\n") != std::string::npos);
+  BOOST_TEST(text.find(R"(lentilscale_accept_ms_bucket{queue="q",le="10"} 1)") !=
+             std::string::npos);
+  BOOST_TEST(text.find(R"(lentilscale_accept_ms_count{queue="q"} 2)") !=
+             std::string::npos);
+}
+
+}  // namespace lentilscale::fleet
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -255,7 +255,7 @@
     std::string body_;
     std::string key_;
     int status_;
-  } kCases[] = {
+  } cases[] = {
       {"POST", "/q/00000000000000b1", "{", "key-a", 400},
       {"POST", "/q/00000000000000b1", "[]", "key-a", 400},
       {"POST", "/q/00000000000000b1", R"({"spec":"x"})", "key-a", 400},
@@ -275,7 +275,7 @@
       {"DELETE", "/q/00000000000000b1", "", "key-a", 410},
       {"GET", "/q/", "", "key-a", 200},
   };
-  for (const auto& row : kCases) {
+  for (const auto& row : cases) {
     BOOST_TEST_CONTEXT(row.method_ << " " << row.path_ << " " << row.body_) {
       BOOST_TEST(
           fleet.Call(0, row.method_, row.path_, row.body_, row.key_).status_ ==
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -85,7 +85,7 @@
   const struct {
     int status_;
     const char* line_;
-  } kCases[] = {
+  } cases[] = {
       {200, "HTTP/1.1 200 OK\r\n"},
       {401, "HTTP/1.1 401 Unauthorized\r\n"},
       {403, "HTTP/1.1 403 Forbidden\r\n"},
@@ -93,7 +93,7 @@
       {410, "HTTP/1.1 410 Gone\r\n"},
       {503, "HTTP/1.1 503 Service Unavailable\r\n"},
   };
-  for (const auto& row : kCases) {
+  for (const auto& row : cases) {
     const auto request = Get("/" + std::to_string(row.status_));
     const auto answer = ExchangeWithServer(request + request);
     BOOST_TEST_CONTEXT(answer) {
--- /dev/null
+++ b/testing/platform_test.cc
@@ -0,0 +1,185 @@
+// The adapter's formats: what the platform writes is decoded into the product's
+// types, and what cannot be read is refused with a reason, never a crash.
+
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "platform/boot_file.h"
+#include "platform/documents.h"
+#include "platform/workers.h"
+
+namespace lentilscale::platform {
+namespace {
+
+constexpr auto kBoot = R"(
+node_name: "n-1"
+zone: "a-1"
+region: "a"
+listen:
+  frontend: "10.0.0.1:1"
+  readiness: "10.0.0.1:2"
+  control: "10.0.0.1:3"
+port_range: [7180, 7195]
+bounds: {revoke_ms: 4000, grace_s: 6, max_hold_ms: 9000, stop_ms: 200, status_s: 1.5}
+advice: "10.0.0.9:9"
+platform: {address: "10.0.0.8:8", ttl_min_ms: 1000}
+unknown_field: {a: 1}
+)";
+
+constexpr auto kWorker =
+    R"({"service":"s","address":"10.0.0.5:80","zone":"a-1","state":"ready",)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1"],)"
+    R"("born":1700000000000,"seq_no":4,"slots":8})";
+
+constexpr auto kConfiguration =
+    R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+    R"("service":"s","priority":2,"max_attempts":4,"stretch":1.5,)"
+    R"("target_duration_ms":300,"public":true,)"
+    R"("advice":{"decide_ms":13.0,"period_ms":0.19,"valid_ms":2000}},)"
+    R"({"name":"r2","host":"h","prefix":"/p/q/","service":"s"}],)"
+    R"("limits":{"max_header_bytes":1000},"tenants":[{"name":"t",)"
+    R"("api_keys":["k1","k2"],"weight":3,"max_count":{"cpu":5000,"gpu":1}}]})";
+
+constexpr auto kJob =
+    R"({"spec":"x","steps":[{"count":2,"cpu":500,"mem_mb":8,"gpu":1,)"
+    R"("estimate_ms":900,"checkpointing":true,"affinity":"r1"},)"
+    R"({"count":1,"after":[0],"gang":true,"long_running":true,)"
+    R"("max_per_server":3,"target_ms":40,"fills":true,"may_miss":1}],)"
+    R"("repeat_count":3,"start_at_ms":1700000000000,"interval_ms":2000})";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(the_boot_file_is_read) {
+  const auto boot = BootFile::FromText(kBoot);
+  BOOST_REQUIRE(boot.ok());
+  BOOST_TEST(boot->client_address_ == "10.0.0.1:1");
+  BOOST_TEST(boot->peer_address_ == "10.0.0.1:3");
+  BOOST_TEST(boot->store_address_ == "10.0.0.8:8");
+  BOOST_TEST(boot->revoke_bound_ms_ == 4000);
+  BOOST_TEST(boot->status_kept_ms_ == 1500);
+  BOOST_TEST(boot->stop_ms_ == 200);
+}
+
+BOOST_AUTO_TEST_CASE(bad_boot_files_are_refused) {
+  const std::vector<std::string> kCases = {
+      "",
+      "[1, 2]",
+      "text",
+      "a: [",
+      "listen: {frontend: \"1:1\"}",
+      "platform: {address: \"1:1\"}",
+      "listen: {frontend: \"1:1\"}\nplatform: {address: \"1:1\"}",
+      "listen: {frontend: \"1:1\", control: \"1:2\"}\n"
+      "platform: {address: \"1:1\"}\nbounds: {revoke_ms: soon}",
+  };
+  for (const auto& text : kCases) {
+    BOOST_TEST_CONTEXT(text) { BOOST_TEST(!BootFile::FromText(text).ok()); }
+  }
+  BOOST_TEST(!BootFile::FromFile("/nonexistent/boot.yaml").ok());
+  BOOST_TEST(!BootFile::FromFile("/").ok());
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_entry_is_read) {
+  const auto entry = ParseWorkerEntry("servers/i-1", kWorker);
+  BOOST_REQUIRE(entry.ok());
+  BOOST_TEST(entry->id_ == "i-1");
+  BOOST_TEST(entry->service_ == "s");
+  BOOST_TEST(entry->capacity_.accelerators_ == 2);
+  BOOST_TEST(entry->born_ms_ == 1700000000000);
+  BOOST_TEST(!entry->is_draining_);
+}
+
+BOOST_AUTO_TEST_CASE(bad_worker_entries_name_no_worker) {
+  const std::vector<std::string> kCases = {
+      "",
+      "null",
+      "\xff\xfe\x00",
+      "{}",
+      R"({"service":"s","address":"1:1","state":"asleep"})",
+      R"({"service":7,"address":"1:1","state":"ready"})",
+      R"({"service":"s","address":["1:1"],"state":"ready"})",
+      R"({"service":"s","address":"1:1","state":"ready","capacity":3})",
+      R"({"service":"s","address":"1:1","state":"ready","capacity":{"cpu":"x"}})",
+      R"({"service":"s","address":"1:1","state":"ready","labels":[1]})",
+      R"({"service":"s","address":"1:1","state":"ready","born":"x"})",
+  };
+  for (const auto& text : kCases) {
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_TEST(!ParseWorkerEntry("servers/i-1", text).ok());
+    }
+  }
+  BOOST_TEST(!ParseWorkerEntry("servers/", kWorker).ok());
+}
+
+BOOST_AUTO_TEST_CASE(the_configuration_is_read) {
+  const auto config = ParseConfiguration(kConfiguration);
+  BOOST_REQUIRE(config.ok());
+  BOOST_TEST(config->version_ == 7);
+  BOOST_TEST(config->FindQueue("h", "/p/x")->name_ == "r");
+  BOOST_TEST(config->FindQueue("h", "/p/q/x")->name_ == "r2");
+  BOOST_TEST(config->FindQueue("other", "/p/x") == nullptr);
+  BOOST_TEST(config->FindTeamByKey("k2")->name_ == "t");
+  BOOST_TEST(config->FindTeamByKey("k3") == nullptr);
+  BOOST_TEST(config->FindTeamByKey("") == nullptr);
+  BOOST_TEST(config->queues_[0].advice_->valid_ms_ == 2000);
+  BOOST_TEST(!config->queues_[1].advice_.has_value());
+  BOOST_TEST(config->teams_[0].limit_.cpu_milli_ == 5000);
+  BOOST_TEST(config->limits_.max_header_bytes_ == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_is_read_and_kept) {
+  auto job = ParseJob(kJob);
+  BOOST_REQUIRE(job.ok());
+  job->id_ = "00000000000000a1";
+  job->queue_ = "r";
+  const auto again = fleet::DecodeJob(fleet::EncodeJob(*job));
+  BOOST_REQUIRE(again.ok());
+  BOOST_TEST(again->steps_.size() == 2U);
+  BOOST_TEST(again->steps_[0].near_rack_ == "r1");
+  BOOST_TEST(again->steps_[0].is_checkpointing_);
+  BOOST_TEST(again->steps_[1].after_ == std::vector<int>{0});
+  BOOST_TEST(again->steps_[1].max_per_worker_ == 3);
+  BOOST_TEST(again->steps_[1].tail_target_ms_ == 40);
+  BOOST_TEST(again->steps_[1].fills_);
+  BOOST_TEST(again->steps_[1].may_miss_ == 1);
+  BOOST_TEST(again->repeat_count_ == 3);
+  BOOST_TEST(again->interval_ms_ == 2000);
+}
+
+// Fixed seed: every mutation is repeatable.
+BOOST_AUTO_TEST_CASE(mutated_documents_do_not_crash) {
+  std::mt19937 random(17);
+  const std::vector<std::string> kTexts = {kBoot, kWorker, kConfiguration,
+                                           kJob};
+  for (auto round = 0; round < 4000; ++round) {
+    auto text = kTexts[random() % kTexts.size()];
+    const auto changes = 1 + random() % 4;
+    for (auto i = 0U; i < changes; ++i) {
+      const auto at = random() % text.size();
+      switch (random() % 3) {
+        case 0:
+          text[at] = static_cast<char>(random() % 256);
+          break;
+        case 1:
+          text.erase(at, random() % 8);
+          break;
+        default:
+          text.insert(at, text.substr(random() % text.size(), random() % 8));
+      }
+      if (text.empty()) {
+        text = "{";
+      }
+    }
+    (void)BootFile::FromText(text);
+    (void)ParseWorkerEntry("servers/i", text);
+    (void)ParseConfiguration(text);
+    (void)ParseJob(text);
+    (void)fleet::DecodeJob(text);
+    (void)fleet::DecodeProgress(text);
+  }
+}
+
+}  // namespace lentilscale::platform
