--- a/cmd/lentilctl.cc
+++ b/cmd/lentilctl.cc
@@ -7,6 +7,7 @@
 //   call SERVICE JSON | queue QUEUE JSON
 //   job submit FILE | show ID | list | watch ID | cancel ID
 //   explain SERVICE | explain-task KEY
+//   explain-log ID [FILE...]     from logs; from standard input without files
 //   key-hash KEY
 //
 // The addresses are tried in turn until one is reached. Exit codes: 0 done,
@@ -19,6 +20,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <iostream>
 #include <random>
 #include <sstream>
 #include <string>
@@ -29,6 +31,7 @@
 #include "lentilscale/error.h"
 #include "lentilscale/http_sync.h"
 #include "lentilscale/json.h"
+#include "lentilscale/log_story.h"
 #include "lentilscale/ticket_file.h"
 
 ABSL_FLAG(std::string, address, "127.0.0.1:7000",
@@ -236,6 +239,32 @@
   throw UsageError("unknown verb: job " + verb);
 }
 
+auto ReadLines(std::istream& in, std::vector<std::string>& lines) -> void {
+  for (std::string line; std::getline(in, line);) {
+    lines.push_back(line);
+  }
+}
+
+// Prints the life of a job, request or worker from the instances' logs.
+auto ExplainLog(const Words& words) -> int {
+  std::vector<std::string> lines;
+  for (std::size_t i = 2; i < words.size(); ++i) {
+    std::ifstream file(words[i]);
+    if (!file) {
+      throw UsageError("cannot read " + words[i]);
+    }
+    ReadLines(file, lines);
+  }
+  if (words.size() <= 2) {
+    ReadLines(std::cin, lines);
+  }
+  const auto story = lentilscale::FindStory(lines, Word(words, 1));
+  for (const auto& entry : story) {
+    fmt::print("{} {}\n", entry.time_, entry.text_);
+  }
+  return story.empty() ? kExitRefused : kExitOk;
+}
+
 auto RunCommand(const Words& words) -> int {
   const auto command = Word(words, 0);
   if (command == "ticket") {
@@ -261,6 +290,9 @@
   if (command == "explain-task") {
     return Run("GET", "/v1/explain?task=" + Word(words, 1));
   }
+  if (command == "explain-log") {
+    return ExplainLog(words);
+  }
   if (command == "key-hash") {
     fmt::print("{}\n", lentilscale::Sha256Hex(Word(words, 1)));
     return kExitOk;
@@ -278,6 +310,7 @@
       "  call SERVICE JSON, queue QUEUE JSON\n"
       "  job submit FILE, job show|watch|cancel ID, job list\n"
       "  explain SERVICE, explain-task KEY\n"
+      "  explain-log ID [FILE...]\n"
       "  key-hash KEY");
   const Words words = lentilscale::ParseCommandLine(argc, argv);
   try {
