--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -64,7 +64,9 @@
 
 auto FrontDesk::Handle(const HttpRequest& request, Reply reply) -> void {
   if (!IsReady()) {
-    Refuse(reply, 503, request.path_, "no recent configuration");
+    // Which part of the path is the queue's is not known without it.
+    Refuse(reply, 503, request.path_.substr(request.path_.rfind('/') + 1),
+           "no recent configuration");
     return;
   }
   const auto config = config_->current();
