--- a/fleet/progress_recorder.cc
+++ b/fleet/progress_recorder.cc
@@ -65,8 +65,18 @@
   });
 }
 
+// A store that fails is tried with one write at a time.
+auto ProgressRecorder::MostInFlight() const -> int {
+  return failures_ == 0 ? kMaxInFlight : 1;
+}
+
 auto ProgressRecorder::Flush() -> void {
-  while (!dirty_.empty() && in_flight_ < kMaxInFlight) {
+  const auto pause_ms = retry_at_ms_ - MonotonicMs();
+  if (pause_ms > 0) {
+    Schedule(pause_ms);
+    return;
+  }
+  while (!dirty_.empty() && in_flight_ < MostInFlight()) {
     Batch batch;
     Transaction transaction;
     transaction.conditions_.push_back({kOwnerKey, owner_revision_});
@@ -132,7 +142,9 @@
            {{"status", StoreStatusName(result.status_)},
             {"keys", std::to_string(batch.keys_.size())},
             {"failures", std::to_string(failures_)}});
-  Schedule(std::min(kMaxRetryMs, kRetryMs * failures_));
+  const auto pause_ms = std::min(kMaxRetryMs, kRetryMs * failures_);
+  retry_at_ms_ = MonotonicMs() + pause_ms;
+  Schedule(pause_ms);
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/progress_recorder.h
+++ b/fleet/progress_recorder.h
@@ -66,6 +66,7 @@
   };
 
   auto Schedule(Millis delay_ms) -> void;
+  auto MostInFlight() const -> int;
   auto Flush() -> void;
   auto OnCommit(const Batch& batch, const CommitResult& result) -> void;
 
@@ -81,6 +82,8 @@
   bool is_scheduled_ = false;
   Millis last_flush_ms_ = 0;
   int failures_ = 0;
+  // No write before this time, after one that failed.
+  Millis retry_at_ms_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/lentilscale/log_story.cc
+++ b/lentilscale/log_story.cc
@@ -44,8 +44,8 @@
   for (const auto& line : lines) {
     const auto time = line.find("time=");
     const auto name = line.find(" name=");
-    if (time == std::string::npos || name == std::string::npos ||
-        name < time || !Concerns(line, id)) {
+    if (time == std::string::npos || name == std::string::npos || name < time ||
+        !Concerns(line, id)) {
       continue;
     }
     story.push_back({WordAfter(line, "time="),
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -174,7 +174,8 @@
 
 BOOST_AUTO_TEST_CASE(task_names_are_read_strictly) {
   BOOST_TEST(TaskId::FromString("ab.1.2.3")->ToString() == "ab.1.2.3");
-  for (const auto* text : {"", "ab", "ab.1.2", "ab.1.2.x", ".1.2.3", "a.1.2.3.4"}) {
+  for (const auto* text :
+       {"", "ab", "ab.1.2", "ab.1.2.x", ".1.2.3", "a.1.2.3.4"}) {
     BOOST_TEST_CONTEXT(text) {
       BOOST_TEST(!TaskId::FromString(text).has_value());
     }
@@ -261,6 +262,24 @@
   BOOST_TEST(recording.recorder_.IsDurable("k", version));
 }
 
+// While the store resets connections, each change used to send a write at once.
+BOOST_AUTO_TEST_CASE(a_failing_store_gets_one_write_at_a_time) {
+  Recording recording;
+  recording.recorder_.MarkDirty("k");
+  recording.store_.AwaitPending(1);
+  recording.store_.Answer({StoreStatus::kUnknown, 0, {}});
+  for (auto i = 0; i < 40; ++i) {
+    recording.recorder_.MarkDirty("k" + std::to_string(i));
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+  }
+  BOOST_TEST(recording.store_.pending_.empty());
+  recording.store_.AwaitPending(1);
+  for (auto i = 0; i < 5; ++i) {
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+  }
+  BOOST_TEST(recording.store_.pending_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_write_of_a_previous_owner_is_refused) {
   Recording recording;
   recording.recorder_.MarkDirty("k");
@@ -308,8 +327,9 @@
   BOOST_TEST(samples > 20);
   BOOST_TEST(text.find("lentilscale_starts_total 1\n") != std::string::npos);
   BOOST_TEST(text.find("lentilscale_workers 3\n") != std::string::npos);
-  BOOST_TEST(text.find(R"(lentilscale_accept_ms_bucket{queue="q",le="10"} 1)") !=
-             std::string::npos);
+  BOOST_TEST(
+      text.find(R"(lentilscale_accept_ms_bucket{queue="q",le="10"} 1)") !=
+      std::string::npos);
   BOOST_TEST(text.find(R"(lentilscale_accept_ms_count{queue="q"} 2)") !=
              std::string::npos);
 }
--- a/testing/log_story_test.cc
+++ b/testing/log_story_test.cc
@@ -1,12 +1,12 @@
 // The story of an id: which lines belong to it, and in which order.
 
 #define BOOST_TEST_MODULE log_story
+#include "lentilscale/log_story.h"
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
 
-#include "lentilscale/log_story.h"
-
 namespace lentilscale {
 namespace {
 
