Take the detection of hanging tasks out again

Cause: by processor use it never fired: a hanging task reports its usual use. Change: none of it stays but the meaning of the figure, now in worker_gateway.h. Conclusion: stopping hanging tasks does not pay; they go on when the worker recovers.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -158,8 +158,6 @@
                 const EndedRun& end, Millis now_ms) -> void;
   auto TakeRunning(FleetWorker& worker, const RunningTask& running,
                    Millis now_ms) -> void;
-  auto NoteLoad(FleetWorker& worker, PlacedRun& run, double load, Millis now_ms)
-      -> void;
   auto Reconcile(FleetWorker& worker, const HoldResult& result) -> void;
   auto NoteResult(FleetWorker& worker, const std::string& job, RunEnd end,
                   Millis now_ms) -> void;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -517,7 +517,6 @@
   placed.fills_ = step.step_->fills_;
   placed.is_long_running_ = step.step_->is_long_running_;
   placed.estimate_ms_ = step.step_->estimate_ms_;
-  placed.is_gang_ = step.step_->is_gang_;
   placed.started_ms_ = now_ms;
   worker.Add(placed);
   team_used_[placed.team_] += placed.team_demand_;
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -23,15 +23,8 @@
 constexpr Millis kListPeriodMs = 600;
 // Longest wait for an end, the worker's own bound.
 constexpr Millis kHoldWaitMs = 2000;
-// Wait on workers where filling tasks may disturb serving ones, or tasks may
-// hang.
-constexpr Millis kWatchedHoldWaitMs = 500;
-// A task that has run this long should use its processors: at two looks in a
-// row with less than this share of them, it hangs.
-constexpr Millis kSettleMs = 1000;
-constexpr Millis kIdleLookGapMs = 300;
-constexpr int kIdleLooks = 2;
-constexpr double kIdleShare = 0.02;
+// Wait on workers where filling tasks may disturb serving ones.
+constexpr Millis kPacedHoldWaitMs = 500;
 // Time between looks while ends wait to be recorded.
 constexpr Millis kUnrecordedHoldMs = 150;
 constexpr Millis kHoldRetryMs = 150;
@@ -155,9 +148,9 @@
     order.worker_deadline_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
   }
   if (!is_first && worker.unrecorded_.empty()) {
-    const auto is_watched = (worker.filling_ > 0 && worker.serving_ > 0) ||
-                            worker.HasOverdueRun(now_ms);
-    order.wait_ms_ = is_watched ? kWatchedHoldWaitMs : kHoldWaitMs;
+    order.wait_ms_ = worker.filling_ > 0 && worker.serving_ > 0
+                         ? kPacedHoldWaitMs
+                         : kHoldWaitMs;
   }
   worker.is_holding_ = true;
   gateway_->Hold(worker.entry_, order,
@@ -373,8 +366,6 @@
   auto* step =
       job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
   if (auto* known = worker.Find(ref.task_, ref.run_); known != nullptr) {
-    known->percent_ = running.percent_;
-    NoteLoad(worker, *known, running.load_, now_ms);
     if (task != nullptr && !running.checkpoint_.empty() &&
         task->run_ == ref.run_) {
       task->checkpoint_ = running.checkpoint_;
@@ -397,7 +388,6 @@
     run.tail_target_ms_ = shape->tail_target_ms_;
     run.is_long_running_ = shape->is_long_running_;
     run.estimate_ms_ = shape->estimate_ms_;
-    run.is_gang_ = shape->is_gang_;
     team_used_[run.team_] += run.team_demand_;
   }
   if (task == nullptr) {
@@ -430,34 +420,6 @@
   worker.Add(run);
 }
 
-// A task that should compute and uses no processor time hangs, and so may all
-// that is on the worker: it runs elsewhere.
-auto Dispatcher::NoteLoad(FleetWorker& worker, PlacedRun& run, double load,
-                          Millis now_ms) -> void {
-  const auto should_compute =
-      run.phase_ == PlacedRun::Phase::kRunning && !run.is_long_running_ &&
-      !run.is_gang_ && !run.fills_ && run.demand_.cpu_milli_ > 0 &&
-      run.pace_percent_ > 0 && now_ms - run.started_ms_ > kSettleMs;
-  if (!should_compute ||
-      load > kIdleShare * static_cast<double>(run.demand_.cpu_milli_)) {
-    run.idle_looks_ = 0;
-    return;
-  }
-  if (now_ms - run.idle_look_ms_ < kIdleLookGapMs) {
-    return;
-  }
-  run.idle_look_ms_ = now_ms;
-  if (++run.idle_looks_ < kIdleLooks) {
-    return;
-  }
-  worker.quarantined_until_ms_ = now_ms + kMinQuarantineMs;
-  LogEvent(Event::kFleetRunHangs, {{"task", run.task_.ToString()},
-                                   {"run", std::to_string(run.run_)},
-                                   {"worker", worker.entry_.id_},
-                                   {"load", std::to_string(load)}});
-  StopRun(run);
-}
-
 auto Dispatcher::Reconcile(FleetWorker& worker, const HoldResult& result)
     -> void {
   std::set<std::pair<std::string, std::int64_t>> listed;
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -14,9 +14,6 @@
 constexpr Millis kLapseMarginMs = 50;
 // Later than any run that has an end.
 constexpr Millis kNeverMs = 1000000000000;
-// Estimates are up to a factor of two off.
-constexpr Millis kOverdueFactor = 2;
-constexpr Millis kOverdueSlackMs = 500;
 // Calls without an answer after which a worker gets no new tasks.
 constexpr int kSilentCalls = 1;
 
@@ -117,15 +114,6 @@
   return kNeverMs;
 }
 
-auto FleetWorker::HasOverdueRun(Millis now_ms) const -> bool {
-  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
-    const auto& run = entry.second;
-    return !run.is_long_running_ &&
-           now_ms - run.started_ms_ >
-               kOverdueFactor * run.estimate_ms_ + kOverdueSlackMs;
-  });
-}
-
 auto FleetWorker::HasLabel(const std::string& label) const -> bool {
   return label.empty() ||
          std::find(entry_.labels_.begin(), entry_.labels_.end(), label) !=
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -38,20 +38,14 @@
   Millis tail_target_ms_ = 0;
   bool fills_ = false;
   bool is_long_running_ = false;
-  bool is_gang_ = false;
   // A list of runs that was asked for after this time is complete with regard
   // to this run; 0 while an order is unanswered.
   Millis settled_ms_ = 0;
   Millis next_stop_ms_ = 0;
   bool is_stop_sent_ = false;
   Millis started_ms_ = 0;
-  // Looks in a row at which the run used no processor time, and the latest.
-  int idle_looks_ = 0;
-  Millis idle_look_ms_ = 0;
   // How long the run should take; 0 if unknown.
   Millis estimate_ms_ = 0;
-  // Share of the processors that the run uses, as reported.
-  int percent_ = 100;
   // Share that it was told to use.
   int pace_percent_ = 100;
   Millis next_pace_ms_ = 0;
@@ -138,8 +132,6 @@
   auto FreeFor(const std::string& step_name, int priority) const -> Resources;
   // Returns the time until `demand` should fit, by the estimates of what runs.
   auto RoomInMs(const Resources& demand, Millis now_ms) const -> Millis;
-  // Returns true if a run goes on for much longer than estimated.
-  auto HasOverdueRun(Millis now_ms) const -> bool;
   auto HasLabel(const std::string& label) const -> bool;
   // Returns the rack, the worker's second label; empty if it has none.
   auto Rack() const -> std::string;
--- a/fleet/worker_gateway.h
+++ b/fleet/worker_gateway.h
@@ -44,7 +44,8 @@
 struct RunningTask {
   RunRef run_;
   std::string checkpoint_;
-  // Share of the processor time that the run may use, in percent.
+  // How much of its work the run has done, in percent; of a lasting task, 100
+  // while it serves.
   int percent_ = 0;
   // Serving tasks: tail of the response times in ms. Others: processors in
   // use, thousandths.
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -71,7 +71,6 @@
     {Event::kFleetRunStopping, "fleet_run_stopping", LogLevel::kInfo},
     {Event::kFleetRunFound, "fleet_run_found", LogLevel::kInfo},
     {Event::kFleetRunGone, "fleet_run_gone", LogLevel::kWarning},
-    {Event::kFleetRunHangs, "fleet_run_hangs", LogLevel::kWarning},
     {Event::kFleetWorkerListed, "fleet_worker_listed", LogLevel::kInfo},
     {Event::kFleetWorkerUnlisted, "fleet_worker_unlisted", LogLevel::kInfo},
     {Event::kFleetWorkerDraining, "fleet_worker_draining", LogLevel::kInfo},
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -78,7 +78,6 @@
   kFleetRunStopping = 6204,
   kFleetRunFound = 6205,
   kFleetRunGone = 6206,
-  kFleetRunHangs = 6207,
   kFleetWorkerListed = 6301,
   kFleetWorkerUnlisted = 6302,
   kFleetWorkerDraining = 6303,
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -529,15 +529,6 @@
   fleet.CheckPromises();
 }
 
-BOOST_AUTO_TEST_CASE(tasks_on_a_hanging_worker_run_elsewhere) {
-  Fleet fleet;
-  fleet.Start(1, 2);
-  BOOST_TEST(fleet.Submit(0, kJob, "ms=100", {{8, 1000, 0, ""}}) == 200);
-  fleet.platform().worker("i-1").SetHanging(true);
-  BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
-  fleet.CheckPromises();
-}
-
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -481,8 +481,7 @@
     row.append(Json::Int64{run.run_});
     row.append("");
     row.append(100);
-    row.append(Json::Int64{is_hanging_ || run.begun_ms_ == 0 ? 0
-                                                             : run.cpu_milli_});
+    row.append(Json::Int64{run.begun_ms_ == 0 ? 0 : run.cpu_milli_});
     answer["running"].append(row);
   }
   for (const auto& end : ended_) {
@@ -555,8 +554,6 @@
       } else if (now_ms - run.arrived_ms_ > kGangWaitMs) {
         ends.emplace_back(task, "alone");
       }
-    } else if (is_hanging_) {
-      run.begun_ms_ += kTickMs;
     } else if (run.work_ms_ > 0 && now_ms >= run.begun_ms_ + run.work_ms_) {
       ends.emplace_back(task, run.fails_ ? "failed" : "done");
     }
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -139,9 +139,6 @@
   // All that is started from now on fails.
   auto SetFailing(bool is_failing) -> void { is_failing_ = is_failing; }
 
-  // All that runs stands still, while calls are answered.
-  auto SetHanging(bool is_hanging) -> void { is_hanging_ = is_hanging; }
-
   auto id() const -> const std::string& { return id_; }
   auto running_count() const -> std::size_t { return running_.size(); }
 
@@ -188,7 +185,6 @@
   bool is_cut_ = false;
   bool is_draining_ = false;
   bool is_failing_ = false;
-  bool is_hanging_ = false;
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
