--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -10,8 +10,10 @@
 // two, so that a dispatcher can be dropped at any moment.
 //
 //   dispatcher.cc            life, jobs, questions of clients
-//   dispatcher_sessions.cc   workers: list, leases, ends, stops
-//   dispatcher_placement.cc  which task goes where, and advice
+//   dispatcher_workers.cc    which workers there are and may be used
+//   dispatcher_sessions.cc   sessions with workers: leases, ends, stops
+//   dispatcher_placement.cc  which task goes where
+//   dispatcher_advice.cc     tickets of the advice service
 
 #ifndef LENTILSCALE_FLEET_DISPATCHER_H_
 #define LENTILSCALE_FLEET_DISPATCHER_H_
@@ -55,6 +57,8 @@
   Millis lease_ms_ = 5000;
   // Time that a stop takes at most.
   Millis stop_ms_ = 1000;
+  // How often workers write their entries.
+  Millis heartbeat_ms_ = 1500;
   // Time for which ended jobs are kept.
   Millis status_kept_ms_ = 120000;
   // Prefix of the workers' entries in the store.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -21,19 +21,8 @@
 constexpr Millis kCoalesceMs = 2;
 // A ticket is not used in the last part of its validity, the way to the worker.
 constexpr Millis kTicketMarginMs = 120;
-// Share of workers that is expected to be allowed before a queue has answers.
-constexpr double kInitialAllowedShare = 0.5;
-constexpr double kMinAllowedShare = 0.1;
-constexpr double kShareSmoothing = 0.1;
-// Workers asked beyond the expected need.
-constexpr int kExtraWorkers = 2;
-// The service takes at most this many workers in a call.
-constexpr std::size_t kMaxAdviceWorkers = 100;
-constexpr Millis kAdviceRetryMs = 250;
 // A worker that refused or did not answer gets no starts for this long.
 constexpr Millis kSuspectMs = 400;
-// Calls for advice up to this length do not hold up urgent ones.
-constexpr double kShortAdviceMs = 60;
 // Run numbers of successive owners do not overlap.
 constexpr std::int64_t kRunsPerEpoch = 1000;
 // Room is kept for tasks that take at least this share of a worker.
@@ -89,23 +78,6 @@
   AskForWishes(now);
 }
 
-// Calls go by priority, but each call after which a step could not be placed
-// puts it back by one, so that steps without room cannot take all slots.
-auto Dispatcher::AskForWishes(Millis now_ms) -> void {
-  const auto rank = [this](const Wish& wish) {
-    const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
-    return queue->priority_ + wish.step_->fruitless_calls_;
-  };
-  std::stable_sort(
-      wishes_.begin(), wishes_.end(),
-      [&](const Wish& a, const Wish& b) { return rank(a) < rank(b); });
-  for (const auto& wish : wishes_) {
-    const auto* queue = PolicyOf(wish.step_->job_->record().queue_);
-    AskAdvice(*wish.step_, *queue, wish.needed_, now_ms);
-  }
-  wishes_.clear();
-}
-
 auto Dispatcher::IsCandidate(const FleetWorker& worker, const StepRun& step,
                              const Queue& queue, Millis now_ms) const -> bool {
   const auto& need = *step.step_;
@@ -340,168 +312,6 @@
   }
 }
 
-auto Dispatcher::AskAdvice(StepRun& step, const Queue& queue, int needed,
-                           Millis now_ms) -> void {
-  if (!queue.advice_.has_value() || step.is_asking_advice_ ||
-      now_ms < step.next_advice_ms_) {
-    return;
-  }
-  const auto is_urgent = queue.advice_->decide_ms_ <= kShortAdviceMs;
-  if (!advice_->HasSlot(is_urgent, now_ms)) {
-    return;
-  }
-  const auto demand = CapacityDemand(*step.step_);
-  // The number of the step's tasks that a worker can take now.
-  const auto places = [&](const FleetWorker& worker) {
-    auto free = worker.FreeFor(step.Name(), queue.priority_);
-    auto most =
-        step.step_->max_per_worker_ > 0 ? step.step_->max_per_worker_ : needed;
-    auto taken = 0;
-    while (taken < std::min(most, needed) && demand.FitsIn(free)) {
-      free -= demand;
-      ++taken;
-    }
-    return taken;
-  };
-  struct Option {
-    FleetWorker* worker_;
-    int places_;
-    bool is_allowed_;
-    double score_;
-  };
-  std::vector<Option> options;
-  auto covered = 0.0;
-  auto possible = 0;
-  for (auto& [id, worker] : workers_) {
-    if (!IsCandidate(worker, step, queue, now_ms)) {
-      continue;
-    }
-    const auto count = places(worker);
-    possible += count;
-    if (HasTicket(worker, step, queue, now_ms)) {
-      covered += count;
-      continue;
-    }
-    options.push_back(
-        {&worker, count, step.allowed_.contains(id), Score(worker, step)});
-  }
-  if (options.empty() || (step.step_->is_gang_ && possible < needed)) {
-    return;
-  }
-  std::sort(options.begin(), options.end(),
-            [](const Option& a, const Option& b) {
-              return std::tuple(!a.is_allowed_, -a.score_) <
-                     std::tuple(!b.is_allowed_, -b.score_);
-            });
-  const auto share_it = allowed_share_.find(queue.name_);
-  const auto share = std::max(kMinAllowedShare, share_it == allowed_share_.end()
-                                                    ? kInitialAllowedShare
-                                                    : share_it->second);
-  AdviceQuestion question;
-  auto extra = kExtraWorkers;
-  for (const auto& option : options) {
-    if (covered >= needed && extra-- == 0) {
-      break;
-    }
-    if (question.workers_.size() == kMaxAdviceWorkers) {
-      break;
-    }
-    question.workers_.push_back(option.worker_->entry_.id_);
-    covered += option.places_ * (option.is_allowed_ ? 1.0 : share);
-    if (option.is_allowed_) {
-      auto& reservation = option.worker_->reservations_[step.Name()];
-      reservation.priority_ = queue.priority_;
-      for (auto i = 0; i < option.places_; ++i) {
-        reservation.amount_ += demand;
-      }
-    }
-  }
-  if (!is_urgent && step.allowed_.empty()) {
-    AddAllWorkers(step, queue, question.workers_);
-  }
-  question.step_ = step.Name();
-  question.is_urgent_ = is_urgent;
-  question.expected_ms_ =
-      static_cast<Millis>(queue.advice_->decide_ms_ +
-                          queue.advice_->per_worker_ms_ *
-                              static_cast<double>(question.workers_.size()));
-  step.is_asking_advice_ = advice_->Ask(
-      question, now_ms,
-      [this, job = step.job_->record().id_, occurrence = step.occurrence_,
-       number = step.number_, asked = question.workers_, name = queue.name_,
-       now_ms, alive = is_alive_](const AdviceResult& result) {
-        if (*alive) {
-          metrics_->Add(FleetCounter::kAdviceCalls);
-          metrics_->Record(FleetLatency::kAdvice, name,
-                           static_cast<double>(BootMs() - now_ms));
-          OnAdvice(job, occurrence, number, asked, result);
-        }
-      });
-}
-
-// The first long call for a step names all workers of the service: the answer
-// holds for good, so that later calls can name just workers that are allowed
-// and have room.
-auto Dispatcher::AddAllWorkers(const StepRun& step, const Queue& queue,
-                               std::vector<std::string>& asked) const -> void {
-  const std::set<std::string> named(asked.begin(), asked.end());
-  for (const auto& [id, worker] : workers_) {
-    if (asked.size() < kMaxAdviceWorkers && !named.contains(id) &&
-        worker.entry_.service_ == queue.service_ && worker.is_listed_ &&
-        !worker.entry_.is_draining_ &&
-        worker.HasLabel(step.step_->required_label_)) {
-      asked.push_back(id);
-    }
-  }
-}
-
-auto Dispatcher::OnAdvice(const std::string& job, std::int64_t occurrence,
-                          int step_number,
-                          const std::vector<std::string>& asked,
-                          const AdviceResult& result) -> void {
-  auto* found = FindJob(job);
-  auto* step =
-      found == nullptr ? nullptr : found->FindStep(occurrence, step_number);
-  RequestSchedule();
-  const auto name = fmt::format("{}.{}.{}", job, occurrence, step_number);
-  for (auto& [id, worker] : workers_) {
-    worker.reservations_.erase(name);
-  }
-  if (step == nullptr) {
-    return;
-  }
-  const auto now = BootMs();
-  step->is_asking_advice_ = false;
-  ++step->fruitless_calls_;
-  LogEvent(Event::kFleetAdvice,
-           {{"step", step->Name()},
-            {"asked", std::to_string(asked.size())},
-            {"answered", result.is_answered_ ? "true" : "false"},
-            {"allowed", std::to_string(result.tickets_.size())},
-            {"valid_ms", std::to_string(result.valid_ms_)}});
-  if (!result.is_answered_) {
-    step->next_advice_ms_ = now + kAdviceRetryMs;
-    return;
-  }
-  for (const auto& id : asked) {
-    step->allowed_[id] = false;
-  }
-  for (const auto& ticket : result.tickets_) {
-    step->allowed_[ticket.worker_id_] = true;
-    const auto it = workers_.find(ticket.worker_id_);
-    if (it != workers_.end()) {
-      step->tickets_[ticket.worker_id_] = {ticket.text_, it->second.born_ms_,
-                                           now + result.valid_ms_};
-    }
-  }
-  const auto& queue = found->record().queue_;
-  const auto share =
-      static_cast<double>(result.tickets_.size()) /
-      static_cast<double>(std::max<std::size_t>(1, asked.size()));
-  const auto it = allowed_share_.try_emplace(queue, kInitialAllowedShare).first;
-  it->second += kShareSmoothing * (share - it->second);
-}
-
 auto Dispatcher::StartTask(StepRun& step, int index, FleetWorker& worker,
                            std::int64_t run, Millis now_ms) -> void {
   const auto id = step.IdOf(index);
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -8,8 +8,6 @@
 namespace lentilscale::fleet {
 namespace {
 
-// A worker's clock may run this much slower than ours.
-constexpr double kClockRate = 0.98;
 // Rounding and the delivery of the answer that gave the clock.
 constexpr Millis kLapseMarginMs = 50;
 // Later than any run that has an end.
@@ -32,7 +30,7 @@
   const auto lapse =
       clock_read_ms_ +
       static_cast<Millis>(static_cast<double>(deadline - worker_clock_ms_) /
-                          kClockRate) +
+                          kWorkerClockRate) +
       kLapseMarginMs;
   latest_lapse_ms_ = std::max(latest_lapse_ms_, lapse);
   return deadline;
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -18,6 +18,9 @@
 
 namespace lentilscale::fleet {
 
+// A worker's clock may run this much slower than ours, by the platform's word.
+inline constexpr double kWorkerClockRate = 0.98;
+
 // A run that takes room on a worker.
 struct PlacedRun {
   enum class Phase {
--- a/fleet/worker_gateway.h
+++ b/fleet/worker_gateway.h
@@ -24,7 +24,7 @@
   std::int64_t born_ms_ = 0;
   std::string service_;
   std::string address_;
-  std::string zone_;
+  std::string data_centre_;
   bool is_draining_ = false;
   Resources capacity_;
   std::vector<std::string> labels_;
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -64,7 +64,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(bad_boot_files_are_refused) {
-  const std::vector<std::string> kCases = {
+  const std::vector<std::string> cases = {
       "",
       "[1, 2]",
       "text",
@@ -75,7 +75,7 @@
       "listen: {frontend: \"1:1\", control: \"1:2\"}\n"
       "platform: {address: \"1:1\"}\nbounds: {revoke_ms: soon}",
   };
-  for (const auto& text : kCases) {
+  for (const auto& text : cases) {
     BOOST_TEST_CONTEXT(text) { BOOST_TEST(!BootFile::FromText(text).ok()); }
   }
   BOOST_TEST(!BootFile::FromFile("/nonexistent/boot.yaml").ok());
@@ -93,7 +93,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(bad_worker_entries_name_no_worker) {
-  const std::vector<std::string> kCases = {
+  const std::vector<std::string> cases = {
       "",
       "null",
       "\xff\xfe\x00",
@@ -106,7 +106,7 @@
       R"({"service":"s","address":"1:1","state":"ready","labels":[1]})",
       R"({"service":"s","address":"1:1","state":"ready","born":"x"})",
   };
-  for (const auto& text : kCases) {
+  for (const auto& text : cases) {
     BOOST_TEST_CONTEXT(text) {
       BOOST_TEST(!ParseWorkerEntry("servers/i-1", text).ok());
     }
@@ -152,10 +152,10 @@
 // Fixed seed: every mutation is repeatable.
 BOOST_AUTO_TEST_CASE(mutated_documents_do_not_crash) {
   std::mt19937 random(17);
-  const std::vector<std::string> kTexts = {kBoot, kWorker, kConfiguration,
+  const std::vector<std::string> texts = {kBoot, kWorker, kConfiguration,
                                            kJob};
   for (auto round = 0; round < 4000; ++round) {
-    auto text = kTexts[random() % kTexts.size()];
+    auto text = texts[random() % texts.size()];
     const auto changes = 1 + random() % 4;
     for (auto i = 0U; i < changes; ++i) {
       const auto at = random() % text.size();
