Give no job up before the configuration is known

Change: a new owner begins when it has the configuration; a queue that was never seen has no bound. Conclusion: the wrong default stood at one place.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -99,8 +99,10 @@
     return result.status_ == StoreStatus::kOk ||
            result.status_ == StoreStatus::kAbsent;
   };
+  // Without a configuration nothing can be judged, not even a failed run.
   if (!is_read(reads.inbox_) || !is_read(reads.progress_) ||
-      !is_read(reads.workers_) || !is_read(reads.entries_)) {
+      !is_read(reads.workers_) || !is_read(reads.entries_) ||
+      hooks_.config_() == nullptr) {
     RetryReadState();
     return;
   }
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "fleet/dispatcher.h"
 #include "fleet/store_keys.h"
@@ -27,6 +28,8 @@
 constexpr Millis kHoldRetryMs = 150;
 constexpr Millis kMaxHoldRetryMs = 1000;
 constexpr Millis kStopRetryMs = 300;
+// The bound for a job whose queue was never seen: its tasks are not given up.
+constexpr int kUnknownAttempts = std::numeric_limits<int>::max();
 // Filling tasks are slowed before the tail reaches its target.
 constexpr double kPaceDownAt = 0.85;
 constexpr double kPaceUpAt = 0.6;
@@ -204,8 +207,9 @@
   }
   if (end.end_ == RunEnd::kFailed && !step.step_->is_long_running_) {
     task.failed_on_ = worker.entry_.id_;
-    job.MarkFailed(step, id.index_, end.run_.run_,
-                   policy == nullptr ? 1 : policy->max_attempts_);
+    job.MarkFailed(
+        step, id.index_, end.run_.run_,
+        policy == nullptr ? kUnknownAttempts : policy->max_attempts_);
     if (job.IsEnded()) {
       OnJobEnded(job);
       return;
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -65,7 +65,7 @@
       // that ran there has ended; an entry that lapsed proves nothing.
       const auto has_left = worker.entry_.is_draining_ &&
                             now - worker.entry_changed_ms_ <
-              kFreshHeartbeats * options_.heartbeat_ms_;
+                                kFreshHeartbeats * options_.heartbeat_ms_;
       LogEvent(
           Event::kFleetWorkerUnlisted,
           {{"worker", id},
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -344,6 +344,24 @@
   fleet.CheckPromises();
 }
 
+// A new owner that has no configuration yet does not know how often a task may
+// fail; it once gave up jobs at their first failure.
+BOOST_AUTO_TEST_CASE(an_owner_without_a_configuration_gives_nothing_up) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  BOOST_TEST(fleet.Submit(0, kJob, "ms=500 fail=2", {{1}}) == 200);
+  fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; });
+  fleet.KillNode(0);
+  fleet.platform().store().Remove("op/config");
+  const auto fresh = fleet.AddNode();
+  fleet.RunFor(2500);
+  fleet.Configure();
+  BOOST_TEST(fleet.RunUntil([&] { return fleet.Ready(fresh); }));
+  BOOST_TEST(fleet.WaitForState(fresh, kJob, "completed"));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 3);
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(an_unanswered_start_is_ruled_out_before_the_next) {
   Fleet fleet;
   fleet.Start(1, 3);
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -152,8 +152,7 @@
 // Fixed seed: every mutation is repeatable.
 BOOST_AUTO_TEST_CASE(mutated_documents_do_not_crash) {
   std::mt19937 random(17);
-  const std::vector<std::string> texts = {kBoot, kWorker, kConfiguration,
-                                           kJob};
+  const std::vector<std::string> texts = {kBoot, kWorker, kConfiguration, kJob};
   for (auto round = 0; round < 4000; ++round) {
     auto text = texts[random() % texts.size()];
     const auto changes = 1 + random() % 4;
