--- a/cmd/lentild.cc
+++ b/cmd/lentild.cc
@@ -141,7 +141,12 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
-  absl::SetProgramUsageMessage("runs one entry instance of lentilscale");
+  absl::SetProgramUsageMessage(
+      "runs one entry instance of lentilscale\n"
+      "  lentild --settings=/etc/lentilscale/lentild.ini\n"
+      "  lentild --platform           on the users' platform\n"
+      "  lentild --embedded           with a store and workers of its own\n"
+      "Exit codes: 0 stopped, 1 a port is taken, 2 the settings are wrong.");
   lentilscale::ParseCommandLine(argc, argv);
   if (absl::GetFlag(FLAGS_print_default_settings)) {
     fmt::print("{}", Settings::DefaultText());
--- a/fleet/advice_desk.h
+++ b/fleet/advice_desk.h
@@ -36,6 +36,9 @@
                          AdviceGateway::Callback)>;
 
   AdviceDesk(AdviceGateway* own, AskPeer ask_peer);
+  ~AdviceDesk() { *is_alive_ = false; }
+  AdviceDesk(const AdviceDesk&) = delete;
+  auto operator=(const AdviceDesk&) -> AdviceDesk& = delete;
 
   // Notes that the instance at `address` can ask.
   auto NoteHelper(const std::string& address, Millis now_ms) -> void;
@@ -63,11 +66,6 @@
   AskPeer ask_peer_;
   std::map<std::string, Helper> helpers_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
-
- public:
-  ~AdviceDesk() { *is_alive_ = false; }
-  AdviceDesk(const AdviceDesk&) = delete;
-  auto operator=(const AdviceDesk&) -> AdviceDesk& = delete;
 };
 
 }  // namespace lentilscale::fleet
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -249,7 +249,6 @@
   task.phase_ = Task::Phase::kPlaced;
   task.run_ = run;
   task.worker_ = worker;
-  step.last_run_ = std::max(step.last_run_, run);
 }
 
 auto Job::Progress() const -> ProgressRecord {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -69,8 +69,6 @@
   int done_ = 0;
   int waiting_ = 0;
   bool is_ready_ = false;
-  // The step's largest run number so far.
-  std::int64_t last_run_ = 0;
   // Workers that the advice service named or left out; this never changes for
   // a step.
   std::map<std::string, bool> allowed_;
--- a/lentilscale/command_line.cc
+++ b/lentilscale/command_line.cc
@@ -4,12 +4,25 @@
 #include "lentilscale/command_line.h"
 
 #include <absl/flags/parse.h>
+#include <absl/flags/usage_config.h>
 
 #include <algorithm>
 
 namespace lentilscale {
 
+namespace {
+
+// The help names the program's own source file, not where it was built.
+auto BaseName(absl::string_view path) -> std::string {
+  return std::string(path.substr(path.rfind('/') + 1));
+}
+
+}  // namespace
+
 auto ParseCommandLine(int argc, char** argv) -> std::vector<std::string> {
+  absl::FlagsUsageConfig usage;
+  usage.normalize_filename = BaseName;
+  absl::SetFlagsUsageConfig(usage);
   std::vector<std::string> spelled(argv, argv + argc);
   for (auto& word : spelled) {
     if (word == "--") {
