Let instances with little processor time claim the fleet last

Cause: on deployments with machines of unlike size, any instance near the store became the owner; one with 0.12 of a core cannot schedule 350 workers. Change: the boot file's processor share reaches the election; below a quarter of a core the claim comes later, by up to 600 ms. Conclusion: no effect where all machines are alike.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -28,6 +28,11 @@
 // One millisecond later for each of these of the process's age.
 constexpr Millis kAgePerDelayMs = 500;
 constexpr Millis kMaxAgeDelayMs = 80;
+// The owner of some 350 workers was measured to need a quarter of a core (see
+// docs/CAPACITY.md). An instance with less claims later, by its lack's share of
+// the delay: about half of a lease, so that one with enough comes first.
+constexpr double kOwnerCores = 0.25;
+constexpr double kMaxWeaknessDelayMs = 600;
 // A peer's report counts for this long.
 constexpr Millis kReportValidMs = 1800;
 
@@ -183,9 +188,14 @@
 
 // Instances near the store claim first: every record of progress and every
 // renewal takes the owner's way to it. Among those the youngest: where machines
-// are restarted in turn, it has its turn behind it.
+// are restarted in turn, it has its turn behind it. Instances with too little
+// processor time for a whole fleet come last.
 auto Election::ClaimDelayMs() const -> Millis {
-  return static_cast<Millis>(std::hash<std::string>{}(options_.instance_) %
+  const auto cores = options_.processor_cores_;
+  const auto weakness =
+      cores == 0 ? 0.0 : std::max(0.0, 1 - cores / kOwnerCores);
+  return static_cast<Millis>(weakness * kMaxWeaknessDelayMs) +
+         static_cast<Millis>(std::hash<std::string>{}(options_.instance_) %
                              kClaimSpreadMs) +
          std::min(kMaxDistanceDelayMs, kDelayPerRoundTrip * round_trip_ms_) +
          std::min(kMaxAgeDelayMs, (BootMs() - started_ms_) / kAgePerDelayMs);
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -42,6 +42,8 @@
     std::string instance_;
     std::string address_;
     Millis ttl_ms_ = 1500;
+    // Share of a processor that this instance has, in cores; 0 if unknown.
+    double processor_cores_ = 0;
   };
   struct Hooks {
     std::function<void(const DispatchRights&)> on_elected_;
@@ -74,8 +76,8 @@
   // Notes what a peer says of its own access to the store: the age of its
   // last answer.
   auto NotePeerStoreAge(const std::string& peer, Millis age_ms) -> void;
-  // Returns the delay with which this instance claims: the smaller, the better
-  // it is placed.
+  // Returns the delay with which this instance claims: the shorter, the better
+  // it is suited.
   auto ClaimDelayMs() const -> Millis;
   // Returns the time since the store last answered this instance.
   auto StoreAgeMs() const -> Millis;
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -75,7 +75,7 @@
   node->election_ = std::make_unique<Election>(
       loop, ports.store_,
       Election::Options{options.name_, options.peer_address_,
-                        options.owner_ttl_ms_},
+                        options.owner_ttl_ms_, options.processor_cores_},
       Election::Hooks{
           [raw](const DispatchRights& rights) { raw->OnElected(rights); },
           [raw](const std::string& /*reason*/) { raw->dispatcher_.reset(); },
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -34,6 +34,8 @@
   std::string configuration_key_;
   // Age of the configuration beyond which requests are refused.
   Millis max_config_age_ms_ = 3500;
+  // Share of a processor that this instance has, in cores; 0 if unknown.
+  double processor_cores_ = 0;
   // Time from the signal to stop until the process must have ended.
   Millis grace_ms_ = 6000;
   // Time to live of the owner's lease.
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/election.h"
 #include "fleet/fleet_metrics.h"
 #include "fleet/fleet_worker.h"
 #include "fleet/job.h"
@@ -302,6 +303,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(instances_with_little_processor_time_claim_last) {
+  ManualStore store;
+  const auto delay = [&](double cores) {
+    const Election election(uv_default_loop(), &store, {"i", "a", 1500, cores},
+                            {});
+    return election.ClaimDelayMs();
+  };
+  // Unknown and sufficient shares are alike; the distance to the store, 150 ms
+  // at most, does not outweigh half of what is needed.
+  BOOST_TEST(delay(0) == delay(0.25));
+  BOOST_TEST(delay(0.5) == delay(0.25));
+  BOOST_TEST(delay(0.12) > delay(0.25) + 150);
+  BOOST_TEST(delay(0.06) > delay(0.12));
+}
+
 BOOST_AUTO_TEST_CASE(metrics_are_prometheus_text) {
   FleetMetrics metrics;
   metrics.Add(FleetCounter::kStarts);
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -26,6 +26,7 @@
 bounds: {revoke_ms: 4000, grace_s: 6, max_hold_ms: 9000, stop_ms: 200, status_s: 1.5}
 advice: "10.0.0.9:9"
 platform: {address: "10.0.0.8:8", ttl_min_ms: 1000}
+limits: {cpu_share: 0.25, cores: 2, memory_mb: 260}
 unknown_field: {a: 1}
 )";
 
@@ -61,6 +62,7 @@
   BOOST_TEST(boot->revoke_bound_ms_ == 4000);
   BOOST_TEST(boot->status_kept_ms_ == 1500);
   BOOST_TEST(boot->stop_ms_ == 200);
+  BOOST_TEST(boot->processor_cores_ == 0.5);
 }
 
 BOOST_AUTO_TEST_CASE(bad_boot_files_are_refused) {
