Wait at a worker little longer than until its next end is due

Cause: a look at a worker waits up to 2 s for an end. Change: the wait follows the estimates of what runs there, 0.5 to 2 s. Ruled out: late starts, advice, accepting (all prompt in the same story).

--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -21,6 +21,10 @@
 
 // Longest wait for an end, the worker's own bound.
 constexpr Millis kHoldWaitMs = 2000;
+// A look that is lost hides the ends on its worker until its time-out, so it
+// waits little longer than until the next end is due, by the estimates.
+constexpr Millis kMinHoldWaitMs = 500;
+constexpr Millis kHoldWaitMarginMs = 200;
 // Wait on workers where filling tasks may disturb serving ones.
 constexpr Millis kPacedHoldWaitMs = 500;
 // Time between looks while ends wait to be recorded.
@@ -53,9 +57,11 @@
     order.worker_deadline_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
   }
   if (!is_first && worker.unrecorded_.empty()) {
-    order.wait_ms_ = worker.filling_ > 0 && worker.serving_ > 0
-                         ? kPacedHoldWaitMs
-                         : kHoldWaitMs;
+    order.wait_ms_ =
+        worker.filling_ > 0 && worker.serving_ > 0
+            ? kPacedHoldWaitMs
+            : std::clamp(worker.NextEndInMs(now_ms) + kHoldWaitMarginMs,
+                         kMinHoldWaitMs, kHoldWaitMs);
   }
   worker.is_holding_ = true;
   gateway_->Hold(worker.entry_, order,
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -10,8 +10,6 @@
 
 // Rounding and the delivery of the answer that gave the clock.
 constexpr Millis kLapseMarginMs = 50;
-// Later than any run that has an end.
-constexpr Millis kNeverMs = 1000000000000;
 // Calls without an answer after which a worker gets no new tasks.
 constexpr int kSilentCalls = 1;
 
@@ -89,6 +87,20 @@
   return free;
 }
 
+auto PlacedRun::EndInMs(Millis now_ms) const -> Millis {
+  return is_long_running_
+             ? kNeverMs
+             : std::max<Millis>(0, started_ms_ + estimate_ms_ - now_ms);
+}
+
+auto FleetWorker::NextEndInMs(Millis now_ms) const -> Millis {
+  auto next = kNeverMs;
+  for (const auto& [key, run] : runs_) {
+    next = std::min(next, run.EndInMs(now_ms));
+  }
+  return next;
+}
+
 auto FleetWorker::RoomInMs(const Resources& demand, Millis now_ms) const
     -> Millis {
   auto free = entry_.capacity_;
@@ -98,15 +110,12 @@
   }
   std::multimap<Millis, const PlacedRun*> by_end;
   for (const auto& [key, run] : runs_) {
-    const auto end = run.is_long_running_
-                         ? kNeverMs
-                         : std::max(now_ms, run.started_ms_ + run.estimate_ms_);
-    by_end.emplace(end, &run);
+    by_end.emplace(run.EndInMs(now_ms), &run);
   }
   for (const auto& [end, run] : by_end) {
     free += run->demand_;
     if (demand.FitsIn(free)) {
-      return end - now_ms;
+      return end;
     }
   }
   return kNeverMs;
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -21,6 +21,9 @@
 // A worker's clock may run this much slower than ours, by the platform's word.
 inline constexpr double kWorkerClockRate = 0.98;
 
+// Later than any run that has an end.
+inline constexpr Millis kNeverMs = 1000000000000;
+
 // A run that takes room on a worker.
 struct PlacedRun {
   enum class Phase {
@@ -52,6 +55,10 @@
   // Share that it was told to use.
   int pace_percent_ = 100;
   Millis next_pace_ms_ = 0;
+
+  // Returns the time until the run should end, by its estimate; kNeverMs for a
+  // run without an end.
+  auto EndInMs(Millis now_ms) const -> Millis;
 };
 
 // Room that is kept for a step while its ticket is asked for.
@@ -135,6 +142,9 @@
   auto FreeFor(const std::string& step_name, int priority) const -> Resources;
   // Returns the time until `demand` should fit, by the estimates of what runs.
   auto RoomInMs(const Resources& demand, Millis now_ms) const -> Millis;
+  // Returns the time until a run should end, by the estimates; kNeverMs if none
+  // has an end.
+  auto NextEndInMs(Millis now_ms) const -> Millis;
   auto HasLabel(const std::string& label) const -> bool;
   // Returns the rack, the worker's second label; empty if it has none.
   auto Rack() const -> std::string;
--- a/testing/fleet_benchmark.cc
+++ b/testing/fleet_benchmark.cc
@@ -99,9 +99,9 @@
     const auto begun = MonotonicMs();
     auto submitted = 0;
     RepeatingTimer submit(loop_, 5, [&] {
-      const auto due = static_cast<int>(
-          static_cast<double>(MonotonicMs() - begun) / kMsPerSecond *
-          load_.jobs_per_s_);
+      const auto due =
+          static_cast<int>(static_cast<double>(MonotonicMs() - begun) /
+                           kMsPerSecond * load_.jobs_per_s_);
       for (; submitted < due; ++submitted) {
         Submit(submitted);
       }
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -217,6 +217,34 @@
   BOOST_TEST(worker.used_.cpu_milli_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(the_next_end_on_a_worker_follows_the_estimates) {
+  struct Case {
+    std::vector<std::pair<Millis, bool>> estimates_and_lasting_;
+    Millis next_ms_;
+  };
+  const std::vector<Case> cases = {
+      {{}, kNeverMs},
+      {{{700, false}}, 200},
+      {{{700, false}, {600, false}, {5000, false}}, 100},
+      {{{100, false}}, 0},
+      {{{100, true}}, kNeverMs},
+      {{{100, true}, {900, false}}, 400},
+  };
+  for (const auto& c : cases) {
+    FleetWorker worker;
+    std::int64_t number = 0;
+    for (const auto& [estimate, is_lasting] : c.estimates_and_lasting_) {
+      PlacedRun run;
+      run.run_ = ++number;
+      run.started_ms_ = 1000;
+      run.estimate_ms_ = estimate;
+      run.is_long_running_ = is_lasting;
+      worker.Add(run);
+    }
+    BOOST_TEST(worker.NextEndInMs(1500) == c.next_ms_);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(filling_tasks_take_no_processors_of_the_capacity) {
   auto step = MakeStep(1);
   step.demand_.memory_mb_ = 5;
