Tell a refused client to come back at once if only this instance lacks the store

Change: the owner's answer to a report says when the store last answered it; an instance whose store calls have failed since before that answers with 0, as does one that lost owner and store at the same moment. While the store answers nobody it stays at 1.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -95,6 +95,12 @@
   peers_[peer] = {now, now - age_ms};
 }
 
+auto Election::HasStoreAnsweredPeers(Millis since_ms) const -> bool {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.store_seen_ms_ > since_ms;
+  });
+}
+
 auto Election::ReadOwner() -> void {
   store_->Read(kOwnerKey, [this, alive = is_alive_](const ReadResult& result) {
     if (!*alive) {
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -76,6 +76,8 @@
   // Notes what a peer says of its own access to the store: the age of its
   // last answer.
   auto NotePeerStoreAge(const std::string& peer, Millis age_ms) -> void;
+  // Returns true if the store has answered a peer since `since_ms`.
+  auto HasStoreAnsweredPeers(Millis since_ms) const -> bool;
   // Returns the delay with which this instance claims: the shorter, the better
   // it is suited.
   auto ClaimDelayMs() const -> Millis;
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -22,6 +22,10 @@
 // Refused connections in a row after which the owner's process is taken for
 // gone.
 constexpr int kOwnerRefusals = 2;
+// An owner that has not answered for some reports in a row is silent.
+constexpr Millis kOwnerSilenceMs = 1200;
+// What is lost to one cause is missed within this time.
+constexpr Millis kSameMomentMs = 1000;
 // A reporting instance that was heard of this lately can follow.
 constexpr Millis kSuccessorSilenceMs = 900;
 // The chosen successor has this long to claim before the lease is given up.
@@ -188,7 +192,8 @@
             } else {
               callback(std::nullopt);
             }
-          }};
+          },
+          [this](Millis since_ms) { return HasStoreAnsweredOthers(since_ms); }};
 }
 
 auto FleetNode::OnElected(const DispatchRights& rights) -> void {
@@ -212,15 +217,35 @@
   if (election_->IsOwner() || owner.address_.empty()) {
     return;
   }
-  peers_.Report(owner.address_,
-                {options_.peer_address_, election_->StoreAgeMs(),
-                 election_->ClaimDelayMs()},
-                [this, revision = owner.revision_] {
-                  if (election_->owner().revision_ == revision &&
-                      ++owner_refusals_ >= kOwnerRefusals) {
-                    election_->NoteOwnerRefuses();
-                  }
-                });
+  peers_.Report(
+      owner.address_,
+      {options_.peer_address_, election_->StoreAgeMs(),
+       election_->ClaimDelayMs()},
+      [this](Millis owner_store_age_ms) {
+        owner_heard_ms_ = BootMs();
+        owner_store_seen_ms_ = owner_heard_ms_ - owner_store_age_ms;
+      },
+      [this, revision = owner.revision_] {
+        if (election_->owner().revision_ == revision &&
+            ++owner_refusals_ >= kOwnerRefusals) {
+          election_->NoteOwnerRefuses();
+        }
+      });
+}
+
+auto FleetNode::HasStoreAnsweredOthers(Millis since_ms) const -> bool {
+  if (election_->IsOwner()) {
+    return election_->HasStoreAnsweredPeers(since_ms);
+  }
+  const auto now = BootMs();
+  if (now - owner_heard_ms_ < kOwnerSilenceMs) {
+    return owner_store_seen_ms_ > since_ms;
+  }
+  // Owner and store that fell silent together mean that this instance is cut
+  // off, unless the owner's process is known to be gone.
+  const auto store_seen_ms = now - election_->StoreAgeMs();
+  return owner_refusals_ == 0 && owner_heard_ms_ != 0 &&
+         std::abs(store_seen_ms - owner_heard_ms_) < kSameMomentMs;
 }
 
 auto FleetNode::HandlePeer(const HttpRequest& request,
@@ -273,6 +298,7 @@
           address, GetInt(body, "store_age_ms", 0, 0, INT64_MAX));
       successors_[address] = {BootMs(),
                               GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
+      answer["store_age_ms"] = Json::Int64{election_->StoreAgeMs()};
     } else if (request.path_ == "/peer/job") {
       const auto job = DecodeJob(RequireString(body, "job"));
       if (!job.ok()) {
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -83,6 +83,9 @@
   auto MakeOwnerLink() -> OwnerLink;
   auto OnElected(const DispatchRights& rights) -> void;
   auto Report() -> void;
+  // Returns true if the store seems to have answered other instances since
+  // `since_ms`, asked when it does not answer this one.
+  auto HasStoreAnsweredOthers(Millis since_ms) const -> bool;
   auto HandOver() -> void;
   auto FinishDrain(Millis started_ms, const std::function<void()>& done)
       -> void;
@@ -102,6 +105,10 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<RepeatingTimer> report_timer_;
   int owner_refusals_ = 0;
+  // When the owner last answered a report, and when the store had last answered
+  // the owner by then.
+  Millis owner_heard_ms_ = 0;
+  Millis owner_store_seen_ms_ = 0;
   // The latest reports of other instances, for the choice of a successor.
   struct Successor {
     Millis reported_ms_ = 0;
--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -20,6 +20,11 @@
 // Clients wait 3 s for an answer.
 constexpr Millis kGiveUpMs = 2300;
 constexpr Millis kStoreRetryMs = 120;
+// A client that is refused comes back, usually to another instance: at once if
+// just this one lacks the store, else after a time in which it may return.
+constexpr int kRetryElsewhereS = 0;
+// The configuration is confirmed at least this often while the store answers.
+constexpr Millis kConfigPeriodMs = 2000;
 constexpr int kRetryAfterS = 1;
 constexpr std::size_t kIdLength = 16;
 
@@ -56,12 +61,20 @@
             {"reason", reason},
             {"configuration_age_ms", std::to_string(config_->AgeMs())}});
   if (status == 503 || status == 429) {
-    reply->SendRetryLater(status, formats_.error_(reason), kRetryAfterS);
+    reply->SendRetryLater(status, formats_.error_(reason), RetryAfterS());
   } else {
     reply->Send(status, formats_.error_(reason));
   }
 }
 
+auto FrontDesk::RetryAfterS() const -> int {
+  const auto since_ms =
+      IsReady() ? failing_since_ms_ : config_->ConfirmedMs() + kConfigPeriodMs;
+  return since_ms != 0 && owner_.has_store_answered_others_(since_ms)
+             ? kRetryElsewhereS
+             : kRetryAfterS;
+}
+
 auto FrontDesk::Handle(const HttpRequest& request, Reply reply) -> void {
   if (!IsReady()) {
     // Which part of the path is the queue's is not known without it.
@@ -134,6 +147,9 @@
     if (result.status_ == StoreStatus::kOk ||
         result.status_ == StoreStatus::kConflict) {
       silent_since_ms_ = 0;
+      failing_since_ms_ = 0;
+    } else if (failing_since_ms_ == 0) {
+      failing_since_ms_ = sent_ms;
     }
     if (result.status_ == StoreStatus::kOk) {
       const auto took = BootMs() - (give_up_ms - kGiveUpMs);
--- a/fleet/front_desk.h
+++ b/fleet/front_desk.h
@@ -45,6 +45,9 @@
   std::function<void(const std::string& queue,
                      std::function<void(std::optional<std::int64_t>)>)>
       ask_pending_;
+  // Returns true if the store seems to have answered other instances since the
+  // given time (BootMs), asked when it does not answer this one.
+  std::function<bool(Millis since_ms)> has_store_answered_others_;
 };
 
 class FrontDesk {
@@ -82,6 +85,8 @@
       -> void;
   auto ShowPending(const Queue& queue, Reply reply) -> void;
   auto IsStoreSilent() const -> bool;
+  // Returns how long a refused client should wait, in seconds.
+  auto RetryAfterS() const -> int;
   auto Refuse(const Reply& reply, int status, const std::string& id,
               const std::string& reason) -> void;
 
@@ -92,6 +97,8 @@
   OwnerLink owner_;
   Millis max_config_age_ms_;
   FleetMetrics* metrics_;
+  // When the first write that failed since one succeeded was sent; 0 if none.
+  Millis failing_since_ms_ = 0;
   // When the latest write without an answer was sent; 0 after one that was
   // answered. While the store is silent, new writes would only end with an
   // unknown outcome.
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -61,15 +61,20 @@
 
 auto PeerClient::Report(const std::string& address,
                         const InstanceReport& report,
+                        std::function<void(Millis)> on_answer,
                         std::function<void()> on_refused) -> void {
   Json::Value body(Json::objectValue);
   body["address"] = report.address_;
   body["store_age_ms"] = Json::Int64{report.store_age_ms_};
   body["claim_delay_ms"] = Json::Int64{report.claim_delay_ms_};
   Send(address, "/peer/report", body, kPeerTimeoutMs,
-       [on_refused = std::move(on_refused)](const HttpResult& http) {
-         if (http.outcome_ == HttpOutcome::kNotSent &&
-             BootMs() - http.sent_ms_ < kRefusedWithinMs) {
+       [on_answer = std::move(on_answer),
+        on_refused = std::move(on_refused)](const HttpResult& http) {
+         const auto answer = ParseAnswer(http);
+         if (answer["store_age_ms"].isInt64()) {
+           on_answer(answer["store_age_ms"].asInt64());
+         } else if (http.outcome_ == HttpOutcome::kNotSent &&
+                    BootMs() - http.sent_ms_ < kRefusedWithinMs) {
            on_refused();
          }
        });
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -40,9 +40,11 @@
  public:
   explicit PeerClient(HttpClient* client) : client_(client) {}
 
-  // `on_refused` runs if the connection is refused at once: no process
-  // listens there.
+  // `on_answer` gets the time since the store last answered the owner;
+  // `on_refused` runs if the connection is refused at once: no process listens
+  // there.
   auto Report(const std::string& address, const InstanceReport& report,
+              std::function<void(Millis owner_store_age_ms)> on_answer,
               std::function<void()> on_refused) -> void;
   auto AskToClaim(const std::string& address, std::int64_t owner_revision)
       -> void;
