Test when refused clients are told to come back

Change: the emulated store has entrances that can turn one instance away; the test fails with Retry-After fixed at 1. One FreeAddress for tests.

--- a/testing/fleet_benchmark.cc
+++ b/testing/fleet_benchmark.cc
@@ -8,12 +8,9 @@
 // that the event loop was busy at one stretch. A profiler tells the scheduler's
 // part from the emulator's.
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <memory>
@@ -22,6 +19,7 @@
 
 #include "lentilscale/log.h"
 #include "platform/platform_node.h"
+#include "testing/free_address_stand_in.h"
 #include "testing/platform_emulator_stand_in.h"
 
 namespace lentilscale::testing {
@@ -40,18 +38,6 @@
   int task_ms_ = 560;
 };
 
-auto FreeAddress() -> std::string {
-  const auto fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in addr{};
-  addr.sin_family = AF_INET;
-  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(addr);
-  bind(fd, reinterpret_cast<sockaddr*>(&addr), length);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&addr), &length);
-  close(fd);
-  return fmt::format("127.0.0.1:{}", ntohs(addr.sin_port));
-}
-
 auto ProcessorMs() -> double {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
 #include "platform/platform_node.h"
+#include "testing/free_address_stand_in.h"
 #include "testing/platform_emulator_stand_in.h"
 
 namespace lentilscale::testing {
@@ -28,18 +30,6 @@
 // Cases wait for conditions; this bounds a case that never gets there.
 constexpr Millis kPatienceMs = 20000;
 
-auto FreeAddress() -> std::string {
-  const auto fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in addr{};
-  addr.sin_family = AF_INET;
-  addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(addr);
-  bind(fd, reinterpret_cast<sockaddr*>(&addr), length);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&addr), &length);
-  close(fd);
-  return fmt::format("127.0.0.1:{}", ntohs(addr.sin_port));
-}
-
 struct Answer {
   int status_ = 0;
   std::string body_;
@@ -84,13 +74,16 @@
             ++version_, priority, advice, keys, limit));
   }
 
-  auto AddNode() -> std::size_t {
+  // Adds an instance that reaches the store at `store_address`, or at its usual
+  // address if that is empty.
+  auto AddNode(const std::string& store_address = "") -> std::size_t {
     platform::BootFile boot;
     boot.node_name_ = fmt::format("node-{}", nodes_.size());
     boot.client_address_ = FreeAddress();
     boot.readiness_address_ = FreeAddress();
     boot.peer_address_ = FreeAddress();
-    boot.store_address_ = platform_->store().address();
+    boot.store_address_ =
+        store_address.empty() ? platform_->store().address() : store_address;
     boot.advice_address_ = platform_->advice_address();
     boot.stop_ms_ = 200;
     boot.status_kept_ms_ = status_kept_ms_;
@@ -146,6 +139,39 @@
     return *answer;
   }
 
+  // Hands a job in at `node` on a connection of its own and returns the whole
+  // answer as it was sent.
+  auto RawSubmit(std::size_t node, const std::string& id) -> std::string {
+    const auto& address = addresses_[node];
+    const auto fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in addr{};
+    addr.sin_family = AF_INET;
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    addr.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1))));
+    BOOST_REQUIRE_EQUAL(
+        connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)), 0);
+    const std::string body =
+        R"({"spec":"ms=20","steps":[{"count":1,"cpu":1}]})";
+    const auto text = fmt::format(
+        "POST /q/{} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-a"
+        "\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
+        id, body.size(), body);
+    BOOST_REQUIRE_EQUAL(send(fd, text.data(), text.size(), 0),
+                        static_cast<ssize_t>(text.size()));
+    std::string answer;
+    RunUntil([&] {
+      std::array<char, 4096> buffer{};
+      const auto got = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (got > 0) {
+        answer.append(buffer.data(), static_cast<std::size_t>(got));
+      }
+      return answer.find("\r\n\r\n") != std::string::npos;
+    });
+    close(fd);
+    return answer;
+  }
+
   auto Ready(std::size_t node) -> bool {
     std::optional<int> status;
     client_->Send({readiness_[node], "GET", "/readiness", "", "", 1000},
@@ -452,6 +478,38 @@
   fleet.CheckPromises();
 }
 
+// Clients that are turned away go to another instance: at once if that helps.
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back) {
+  Fleet fleet;
+  auto& store = fleet.platform().store();
+  fleet.Start(2, 1);
+  const auto entrance = store.AddEntrance();
+  const auto node = fleet.AddNode(store.entrance_address(entrance));
+  BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.Ready(node); }));
+  BOOST_TEST(fleet.RawSubmit(node, kJob).starts_with("HTTP/1.1 200"));
+
+  store.SetEntranceRefusing(entrance, true);
+  BOOST_TEST(fleet.RunUntil([&] {
+    const auto answer = fleet.RawSubmit(node, "00000000000000b1");
+    return answer.find("retry-after: 0") != std::string::npos;
+  }));
+  store.SetEntranceRefusing(entrance, false);
+  BOOST_TEST(fleet.RunUntil([&] {
+    return fleet.RawSubmit(node, "00000000000000b1")
+        .starts_with("HTTP/1.1 200");
+  }));
+
+  // While the store turns everybody away, coming back at once is of no use.
+  store.SetMode(EmulatedStore::Mode::kRefusing);
+  for (auto i = 0; i < 20; ++i) {
+    const auto answer = fleet.RawSubmit(node, "00000000000000b2");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("retry-after: 1") != std::string::npos);
+    fleet.RunFor(100);
+  }
+  store.SetMode(EmulatedStore::Mode::kUp);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_at_once) {
   Fleet fleet;
   fleet.Start(2, 2);
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -75,6 +75,23 @@
   tick_ = std::make_unique<RepeatingTimer>(loop, kTickMs, [this] { Tick(); });
 }
 
+auto EmulatedStore::AddEntrance() -> std::size_t {
+  const auto number = entrances_.size();
+  entrances_.emplace_back();
+  auto [server, address] =
+      Listen(loop_, [this, number](const HttpRequest& request,
+                                   const std::shared_ptr<HttpReply>& reply) {
+        if (entrances_[number].is_refusing_) {
+          reply->Send(503, "{}");
+        } else {
+          Handle(request, reply);
+        }
+      });
+  entrances_[number].server_ = std::move(server);
+  entrances_[number].address_ = address;
+  return number;
+}
+
 auto EmulatedStore::DropHistory() -> void {
   changes_.clear();
   first_kept_ = revision_ + 1;
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -41,6 +41,15 @@
 
   auto address() const -> const std::string& { return address_; }
   auto SetMode(Mode mode) -> void { mode_ = mode; }
+  // Opens another address for the same store, so that one instance can be
+  // turned away while others are served. Returns its number.
+  auto AddEntrance() -> std::size_t;
+  auto entrance_address(std::size_t entrance) const -> const std::string& {
+    return entrances_[entrance].address_;
+  }
+  auto SetEntranceRefusing(std::size_t entrance, bool is_refusing) -> void {
+    entrances_[entrance].is_refusing_ = is_refusing;
+  }
   // The next `count` transactions are carried out and not answered.
   auto LoseAnswers(int count) -> void { answers_to_lose_ = count; }
   // The next `count` transactions are carried out `delay_ms` later and not
@@ -102,6 +111,12 @@
   auto Tick() -> void;
 
   uv_loop_t* loop_;
+  struct Entrance {
+    std::string address_;
+    bool is_refusing_ = false;
+    std::unique_ptr<HttpServer> server_;
+  };
+  std::vector<Entrance> entrances_;
   std::string address_;
   Mode mode_ = Mode::kUp;
   int answers_to_lose_ = 0;
