Let late jobs yield to those that can still be on time

Change: the objective is computed from the queue's policy and the estimates along the longest chain. Within a priority, a step whose job cannot meet it any more goes after the others, until the job is two objectives old.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -189,6 +189,14 @@
   // dispatcher_placement.cc
   auto RequestSchedule() -> void;
   auto Schedule() -> void;
+  // A waiting step in the order of a pass.
+  struct Turn {
+    StepRun* step_;
+    const Queue* queue_;
+    int priority_;
+    bool is_yielding_;
+  };
+  auto WaitingInOrder() -> std::vector<Turn>;
   auto ReadRooms(Millis now_ms) -> void;
   // Returns true if no worker has room for a task of the step, nor any kept for
   // it: what a pass can say of most steps when the fleet is full.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -1,5 +1,7 @@
 // Steps are served strictly by priority and then by acceptance; what does not
-// fit is passed over, so that smaller work uses the room meanwhile.
+// fit is passed over, so that smaller work uses the room meanwhile. Within a
+// priority, jobs that are late anyway let those pass that can still be on time:
+// in a backlog, first-come-first-served would make every job a little late.
 //
 // Tasks that need accelerators go where the fewest are left, which keeps whole
 // workers free for the tasks that need all of one; other tasks go where the
@@ -79,22 +81,15 @@
   }
   const auto now = BootMs();
   const auto begun_ns = uv_hrtime();
-  std::vector<StepRun*> steps;
-  for (const auto& [key, step] : waiting_) {
-    steps.push_back(step);
-  }
   ReadRooms(now);
-  for (auto* step : steps) {
-    const auto* queue = PolicyOf(step->job_->record().queue_);
-    if (queue == nullptr || step->job_->IsEnded()) {
-      continue;
-    }
-    const auto is_placed = step->step_->is_gang_
-                               ? PlaceGang(*step, *queue, now)
-                               : PlaceStep(*step, *queue, now);
+  for (const auto& turn : WaitingInOrder()) {
+    auto& step = *turn.step_;
+    const auto is_placed = step.step_->is_gang_
+                               ? PlaceGang(step, *turn.queue_, now)
+                               : PlaceStep(step, *turn.queue_, now);
     if (is_placed) {
-      step->fruitless_calls_ = 0;
-      waiting_.erase(KeyOf(*step));
+      step.fruitless_calls_ = 0;
+      waiting_.erase(KeyOf(step));
     }
   }
   AskForWishes(now);
@@ -102,6 +97,25 @@
   pass_ms_ = static_cast<double>(uv_hrtime() - begun_ns) / kNsPerMs;
 }
 
+auto Dispatcher::WaitingInOrder() -> std::vector<Turn> {
+  const auto wall = WallMs();
+  std::vector<Turn> turns;
+  for (const auto& [key, step] : waiting_) {
+    const auto& job = *step->job_;
+    const auto* queue = PolicyOf(job.record().queue_);
+    if (queue != nullptr && !job.IsEnded()) {
+      turns.push_back(
+          {step, queue, std::get<0>(key), job.IsYielding(*step, *queue, wall)});
+    }
+  }
+  std::stable_sort(turns.begin(), turns.end(),
+                   [](const Turn& a, const Turn& b) {
+                     return std::tuple(a.priority_, a.is_yielding_) <
+                            std::tuple(b.priority_, b.is_yielding_);
+                   });
+  return turns;
+}
+
 auto Dispatcher::ReadRooms(Millis now_ms) -> void {
   for (auto& [id, worker] : workers_) {
     worker.kept_for_.clear();
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -16,6 +16,12 @@
 
 constexpr auto kDone = 'D';
 constexpr auto kNotDone = '.';
+// A call for advice on this many workers belongs to a step's time, by the
+// users' definition of the objective.
+constexpr double kUsualAdviceWorkers = 30;
+// A late job lets others pass until it is this many objectives old; after three
+// it counts as lost.
+constexpr Millis kYieldUntil = 2;
 
 }  // namespace
 
@@ -43,8 +49,59 @@
 Job::Job(JobRecord record, ProgressRecord progress, bool is_recovered)
     : record_(std::move(record)),
       progress_(std::move(progress)),
+      chains_(record_.steps_.size()),
       is_recovered_(is_recovered),
-      next_occurrence_(progress_.occurrences_done_) {}
+      next_occurrence_(progress_.occurrences_done_) {
+  // Steps come after those that they wait for.
+  for (auto s = record_.steps_.size(); s-- > 0;) {
+    auto& chain = chains_[s];
+    chain.work_ms_ += record_.steps_[s].estimate_ms_;
+    ++chain.steps_;
+    for (const auto before : record_.steps_[s].after_) {
+      auto& other = chains_[static_cast<std::size_t>(before)];
+      if (chain.work_ms_ > other.work_ms_) {
+        other = chain;
+      }
+    }
+  }
+}
+
+auto Job::RestMs(int step, const Queue& queue) const -> Millis {
+  const auto& chain = chains_[static_cast<std::size_t>(step)];
+  const auto advice_ms =
+      queue.advice_.has_value()
+          ? queue.advice_->decide_ms_ +
+                kUsualAdviceWorkers * queue.advice_->per_worker_ms_
+          : 0.0;
+  return chain.work_ms_ + static_cast<Millis>(chain.steps_ * advice_ms);
+}
+
+auto Job::ObjectiveMs(const Queue& queue) const -> Millis {
+  Millis longest = 0;
+  for (std::size_t s = 0; s < record_.steps_.size(); ++s) {
+    if (record_.steps_[s].is_long_running_) {
+      return 0;
+    }
+    longest = std::max(longest, RestMs(static_cast<int>(s), queue));
+  }
+  return static_cast<Millis>(queue.stretch_ * static_cast<double>(longest)) +
+         queue.target_ms_;
+}
+
+auto Job::IsYielding(const StepRun& step, const Queue& queue,
+                     Millis wall_ms) const -> bool {
+  const auto objective = ObjectiveMs(queue);
+  if (objective == 0) {
+    return false;
+  }
+  const auto due =
+      record_.repeat_count_ == 0
+          ? record_.accepted_ms_
+          : record_.first_due_ms_ + step.occurrence_ * record_.interval_ms_;
+  const auto age = wall_ms - due;
+  return age + RestMs(step.number_, queue) > objective &&
+         age < kYieldUntil * objective;
+}
 
 auto Job::NextDueMs() const -> Millis {
   if (IsEnded() || record_.repeat_count_ == 0 ||
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/fleet_config.h"
 #include "fleet/job_record.h"
 #include "fleet/worker_gateway.h"
 
@@ -108,6 +109,15 @@
     return progress_.state_ >= JobState::kCompleted;
   }
 
+  // Returns the time within which the job, or each of its occurrences, should
+  // be done by the queue's policy; 0 if it has no end.
+  auto ObjectiveMs(const Queue& queue) const -> Millis;
+  // Returns true if other steps of the queue's priority should go first: the
+  // step's occurrence can no longer be done within the objective, but is not so
+  // late yet that it would be lost.
+  auto IsYielding(const StepRun& step, const Queue& queue, Millis wall_ms) const
+      -> bool;
+
   // Creates the occurrences that are due by `wall_ms`, and the only one of a
   // job without due times. Returns the steps that became ready.
   auto CreateDue(Millis wall_ms, Millis now_ms) -> std::vector<StepRun*>;
@@ -154,8 +164,18 @@
       -> std::vector<StepRun*>;
   auto FinishOccurrences() -> void;
 
+  // Returns the time from the step's start to the job's end if nothing waits,
+  // by the estimates.
+  auto RestMs(int step, const Queue& queue) const -> Millis;
+
   JobRecord record_;
   ProgressRecord progress_;
+  // By step: estimates along the longest chain from it, and the chain's steps.
+  struct Chain {
+    Millis work_ms_ = 0;
+    int steps_ = 0;
+  };
+  std::vector<Chain> chains_;
   bool is_recovered_;
   std::int64_t next_occurrence_ = 0;
   std::map<std::int64_t, std::vector<std::unique_ptr<StepRun>>> occurrences_;
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -173,6 +173,68 @@
   BOOST_TEST(job.ShapeOf({"00000000000000a1", 0, 1, 0}) == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(the_objective_follows_the_longest_chain) {
+  struct Case {
+    std::vector<std::pair<Millis, std::vector<int>>> estimates_and_after_;
+    Millis objective_ms_;
+  };
+  const std::vector<Case> cases = {
+      {{{1000, {}}}, 2 * 1060 + 300},
+      {{{1000, {}}, {500, {0}}}, 2 * 1620 + 300},
+      {{{1000, {}}, {5000, {}}, {500, {0}}}, 2 * 5060 + 300},
+      {{{1000, {}}, {200, {0}}, {900, {0}}, {100, {1, 2}}}, 2 * 2180 + 300},
+  };
+  Queue queue;
+  queue.stretch_ = 2;
+  queue.target_ms_ = 300;
+  queue.advice_ = AdvicePolicy{30, 1, 2000};
+  for (const auto& c : cases) {
+    std::vector<Step> steps;
+    for (const auto& [estimate, after] : c.estimates_and_after_) {
+      steps.push_back(MakeStep(1, after));
+      steps.back().estimate_ms_ = estimate;
+    }
+    const Job job(MakeRecord(steps), {}, false);
+    BOOST_TEST(job.ObjectiveMs(queue) == c.objective_ms_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_job_lets_others_pass_for_a_while) {
+  struct Case {
+    Millis age_ms_;
+    bool is_yielding_;
+  };
+  // The objective is 2,300 ms; the step itself takes 1,000.
+  const std::vector<Case> cases = {{0, false},   {1300, false}, {1301, true},
+                                   {4599, true}, {4600, false}, {9000, false}};
+  Queue queue;
+  queue.stretch_ = 2;
+  queue.target_ms_ = 300;
+  auto step = MakeStep(1);
+  step.estimate_ms_ = 1000;
+  auto record = MakeRecord({step});
+  record.accepted_ms_ = 50000;
+  Job job(record, {}, false);
+  const auto* ready = job.CreateDue(0, 0).front();
+  record.repeat_count_ = 3;
+  record.first_due_ms_ = 40000;
+  record.interval_ms_ = 10000;
+  Job repeating(record, {}, false);
+  const auto* second = repeating.CreateDue(50000, 0).back();
+  record = MakeRecord({step});
+  record.steps_[0].is_long_running_ = true;
+  Job lasting(record, {}, false);
+  const auto* lasting_step = lasting.CreateDue(0, 0).front();
+  for (const auto& c : cases) {
+    BOOST_TEST_CONTEXT("age " << c.age_ms_) {
+      const auto wall = 50000 + c.age_ms_;
+      BOOST_TEST(job.IsYielding(*ready, queue, wall) == c.is_yielding_);
+      BOOST_TEST(repeating.IsYielding(*second, queue, wall) == c.is_yielding_);
+      BOOST_TEST(!lasting.IsYielding(*lasting_step, queue, wall));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(task_names_are_read_strictly) {
   BOOST_TEST(TaskId::FromString("ab.1.2.3")->ToString() == "ab.1.2.3");
   for (const auto* text :
