--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -10,6 +10,7 @@
 // two, so that a dispatcher can be dropped at any moment.
 //
 //   dispatcher.cc            life, jobs, questions of clients
+//   dispatcher_recovery.cc   what a new owner reads from the store
 //   dispatcher_workers.cc    which workers there are and may be used
 //   dispatcher_sessions.cc   sessions with workers: leases, ends, stops
 //   dispatcher_placement.cc  which task goes where
@@ -108,7 +109,7 @@
   // Order of the waiting steps: priority, acceptance, identity.
   using StepKey = std::tuple<int, Millis, std::string, std::int64_t, int>;
 
-  // dispatcher.cc
+  // dispatcher_recovery.cc
   // A worker of the previous owner, as its record names it.
   struct UnclaimedWorker {
     std::string service_;
@@ -132,6 +133,8 @@
   auto OnStateRead() -> void;
   auto WatchInbox() -> void;
   auto TakeInboxRecord(const Record& record, bool is_recovered) -> void;
+
+  // dispatcher.cc
   auto Insert(const JobRecord& record, bool is_recovered) -> void;
   auto Tick() -> void;
   auto CreateDueOccurrences() -> void;
