Leave silent workers out of the record once their lease has lapsed

Cause: a new owner starts no task of earlier jobs until every worker that the record names has answered or its lease must have lapsed, 5.6 s. A worker that had crashed for good stayed in the record until its entry was gone and 2.5 s more (docs/OPERATIONS.md shows a job that waited 5.5 s for three such workers). Change: a silent worker leaves the record when its lease has lapsed, and gets no tasks after it answers again until the record names it. The log line of a refusal says when the client may come back.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -231,6 +231,9 @@
       }
     }
     for (const auto& [id, worker] : workers_) {
+      if (worker.is_left_out_) {
+        continue;
+      }
       auto& entry = body["workers"][id];
       entry = Json::Value(Json::objectValue);
       entry["service"] = worker.entry_.service_;
@@ -253,6 +256,7 @@
     if (key == kWorkersKey) {
       for (auto& [id, worker] : workers_) {
         worker.is_recorded_ |=
+            !worker.is_left_out_ &&
             recorder_.IsDurable(kWorkersKey, worker.listed_version_);
       }
       RequestSchedule();
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -116,6 +116,10 @@
   }
   worker.ReadClock(result.worker_clock_ms_, now);
   worker.silent_calls_ = 0;
+  if (worker.is_left_out_) {
+    worker.is_left_out_ = false;
+    worker.listed_version_ = recorder_.MarkDirty(kWorkersKey);
+  }
   const auto is_first = !worker.is_claimed_;
   for (const auto& end : result.ended_) {
     TakeEnd(worker, end, now);
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -158,8 +158,15 @@
   std::vector<std::string> removed;
   for (auto& [id, worker] : workers_) {
     const auto is_lapsed = now_ms > worker.latest_lapse_ms_;
-    if (is_lapsed && worker.silent_calls_ > 0 && !worker.runs_.empty()) {
-      OnLapsed(worker);
+    if (is_lapsed && worker.silent_calls_ > 0) {
+      if (!worker.runs_.empty()) {
+        OnLapsed(worker);
+      }
+      if (worker.is_recorded_) {
+        worker.is_recorded_ = false;
+        worker.is_left_out_ = true;
+        recorder_.MarkDirty(kWorkersKey);
+      }
     }
     for (auto& [key, run] : worker.runs_) {
       if (run.phase_ == PlacedRun::Phase::kStopping && !run.is_stop_sent_ &&
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -87,6 +87,9 @@
   // the version of the record that does.
   bool is_recorded_ = false;
   std::uint64_t listed_version_ = 0;
+  // True while the worker is left out of that record: it is silent and nothing
+  // can be running there, so that a new owner need not wait for it.
+  bool is_left_out_ = false;
   // True once the worker has answered a Hold with this dispatcher's token.
   bool is_claimed_ = false;
   // The life that the runs belong to.
--- a/fleet/front_desk.cc
+++ b/fleet/front_desk.cc
@@ -55,13 +55,16 @@
 auto FrontDesk::Refuse(const Reply& reply, int status, const std::string& id,
                        const std::string& reason) -> void {
   metrics_->Add(FleetCounter::kRequestsRefused);
+  const auto is_temporary = status == 503 || status == 429;
+  const auto retry_after_s = is_temporary ? RetryAfterS() : 0;
   LogEvent(Event::kFleetRequestRefused,
            {{"id", id},
             {"status", std::to_string(status)},
             {"reason", reason},
+            {"retry_after_s", std::to_string(retry_after_s)},
             {"configuration_age_ms", std::to_string(config_->AgeMs())}});
-  if (status == 503 || status == 429) {
-    reply->SendRetryLater(status, formats_.error_(reason), RetryAfterS());
+  if (is_temporary) {
+    reply->SendRetryLater(status, formats_.error_(reason), retry_after_s);
   } else {
     reply->Send(status, formats_.error_(reason));
   }
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -417,6 +417,27 @@
   fleet.CheckPromises();
 }
 
+// A new owner waits for the workers that the record names, so one that is dead
+// must not stay there.
+BOOST_AUTO_TEST_CASE(a_silent_worker_leaves_the_record_with_its_lease) {
+  Fleet fleet;
+  fleet.Start(1, 2);
+  const auto is_named = [&] {
+    return fleet.platform().store().Get("ls/workers").find("\"i-0\"") !=
+           std::string::npos;
+  };
+  BOOST_TEST(is_named());
+  fleet.platform().worker("i-0").SetCut(true);
+  BOOST_TEST(fleet.RunUntil([&] { return !is_named(); }));
+  fleet.platform().worker("i-0").SetCut(false);
+  BOOST_TEST(fleet.RunUntil(is_named));
+  // Both workers are needed at once.
+  BOOST_REQUIRE_EQUAL(fleet.Submit(0, kJob, "ms=300", {{2, 4000}}), 200);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_worker_gets_its_tasks_again) {
   Fleet fleet;
   fleet.Start(1, 2);
