Log what keeps a waiting step from being placed

Cause: placement stops at the first condition that is not met and keeps no record of it; a new owner that cannot read its state says nothing either. Change: fleet_step_stalled (6107) names a step of which nothing has run for 2.5 s, the first condition that no worker meets and how many workers meet each; at most four lines a second, 32 steps examined. fleet_state_not_read (6009) names the status of each read. Metric stalls_reported_total. Measured: fleet_parts_test and catalogue_test pass; no decision reads the new code.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -357,6 +357,7 @@
     next_purge_ms_ =
         now + (PurgeEndedJobs(now) ? kPurgeBatchPauseMs : kPurgeIntervalMs);
   }
+  ReportStalledSteps(now);
   RequestPlacementPass();
 }
 
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -15,6 +15,7 @@
 //   dispatcher_sessions.cc   worker sessions: leases, ended runs, stops
 //   dispatcher_placement.cc  placement of tasks on workers
 //   dispatcher_advice.cc     calls to the advice service and their tickets
+//   dispatcher_stalls.cc     reports of steps that wait for long
 
 #ifndef LENTILSCALE_FLEET_DISPATCHER_H_
 #define LENTILSCALE_FLEET_DISPATCHER_H_
@@ -39,6 +40,7 @@
 #include "fleet/job.h"
 #include "fleet/progress_recorder.h"
 #include "fleet/record_store.h"
+#include "fleet/wait_reason.h"
 #include "fleet/worker_gateway.h"
 #include "lentilscale/timer.h"
 
@@ -267,6 +269,18 @@
                      std::int64_t run, const OrderResult& result) -> void;
   auto NextRunNumber(const Task& task) const -> std::int64_t;
 
+  // dispatcher_stalls.cc
+  // Counts the workers that meet the conditions of placement for one task of
+  // the step.
+  auto CountWorkers(const StepRun& step, const Queue& queue,
+                    Millis now_ms) const -> WorkerCounts;
+  // Returns what keeps the step from being placed; `queue` is nullptr if no
+  // configuration has had it.
+  auto ExplainWait(const StepRun& step, const Queue* queue,
+                   const WorkerCounts& counts) const -> WaitReason;
+  // Logs the steps that have waited for long while nothing of them runs.
+  auto ReportStalledSteps(Millis now_ms) -> void;
+
   uv_loop_t* loop_;
   RecordStore* store_;
   WorkerGateway* gateway_;
@@ -328,6 +342,7 @@
   ProgressRecorder recorder_;
   bool is_pass_requested_ = false;
   Millis next_purge_ms_ = 0;
+  Millis next_stall_check_ms_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RepeatingTimer> tick_timer_;
 };
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -64,6 +64,15 @@
   if (!is_read(reads.inbox_) || !is_read(reads.progress_) ||
       !is_read(reads.previous_workers_) || !is_read(reads.worker_entries_) ||
       hooks_.config_() == nullptr) {
+    LogEvent(
+        Event::kFleetStateNotRead,
+        {{"epoch", std::to_string(claim_.epoch_)},
+         {"inbox", StoreStatusName(reads.inbox_.status_)},
+         {"progress", StoreStatusName(reads.progress_.status_)},
+         {"workers_record", StoreStatusName(reads.previous_workers_.status_)},
+         {"worker_entries", StoreStatusName(reads.worker_entries_.status_)},
+         {"has_configuration",
+          hooks_.config_() == nullptr ? "false" : "true"}});
     ScheduleReadRetry();
     return;
   }
--- /dev/null
+++ b/fleet/dispatcher_stalls.cc
@@ -0,0 +1,168 @@
+// Reports steps that have waited for long although nothing of them runs.
+//
+// The reason is worked out only for reports, because placement stops at the
+// first condition that is not met and keeps no record of it. A bound on the
+// steps examined keeps the cost of a backlog constant.
+
+#include <algorithm>
+
+#include "fleet/dispatcher.h"
+#include "lentilscale/log.h"
+
+namespace lentilscale::fleet {
+namespace {
+
+constexpr Millis kStallCheckIntervalMs = 1000;
+// Within this time a waiting step is usually placed, unless the fleet is full.
+constexpr Millis kStallThresholdMs = 2500;
+constexpr std::size_t kMaxExaminedSteps = 32;
+constexpr std::size_t kMaxReportedSteps = 4;
+
+// Returns true for the reasons that a full fleet or a full team explains.
+auto IsExpectedUnderLoad(WaitReason reason) -> bool {
+  return reason == WaitReason::kNoCapacity ||
+         reason == WaitReason::kTeamLimit || reason == WaitReason::kReserved;
+}
+
+// Returns when the step's longest waiting task became ready or was requeued, or
+// nullopt if no task waits or another task of the step is placed.
+auto StalledSinceMs(const StepRun& step) -> std::optional<Millis> {
+  std::optional<Millis> since;
+  for (const auto& task : step.tasks_) {
+    if (task.phase_ == Task::Phase::kPlaced) {
+      return std::nullopt;
+    }
+    if (task.phase_ == Task::Phase::kWaiting) {
+      since = std::min(since.value_or(task.waiting_since_ms_),
+                       task.waiting_since_ms_);
+    }
+  }
+  return since;
+}
+
+}  // namespace
+
+auto Dispatcher::CountWorkers(const StepRun& step, const Queue& queue,
+                              Millis now_ms) const -> WorkerCounts {
+  WorkerCounts counts;
+  const auto demand = CapacityDemand(*step.step_);
+  for (const auto& [id, worker] : workers_) {
+    if (worker.entry_.service_ != queue.service_ ||
+        !worker.HasLabel(step.step_->required_label_)) {
+      continue;
+    }
+    ++counts.in_service_;
+    if (!worker.IsUsable(now_ms)) {
+      continue;
+    }
+    ++counts.usable_;
+    auto free = worker.entry_.capacity_;
+    free -= worker.used_;
+    if (!demand.FitsIn(free)) {
+      continue;
+    }
+    ++counts.fitting_;
+    if (!demand.FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_))) {
+      continue;
+    }
+    ++counts.unreserved_;
+    const auto runs = step.runs_per_worker_.find(id);
+    if (step.step_->max_per_worker_ > 0 &&
+        runs != step.runs_per_worker_.end() &&
+        runs->second >= step.step_->max_per_worker_) {
+      continue;
+    }
+    ++counts.within_limit_;
+    const auto allowed = step.advice_by_worker_.find(id);
+    if (queue.advice_.has_value() && allowed != step.advice_by_worker_.end() &&
+        !allowed->second) {
+      continue;
+    }
+    ++counts.allowed_;
+    counts.ticketed_ += HasValidTicket(worker, step, queue, now_ms) ? 1 : 0;
+  }
+  return counts;
+}
+
+auto Dispatcher::ExplainWait(const StepRun& step, const Queue* queue,
+                             const WorkerCounts& counts) const -> WaitReason {
+  if (queue == nullptr) {
+    return WaitReason::kNoQueue;
+  }
+  if (!hooks_.has_rights_()) {
+    return WaitReason::kNoRights;
+  }
+  const auto& record = step.job_->record();
+  for (auto i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
+    if (step.job_->is_recovered() &&
+        !IsKnownNotRunning(queue->service_, step.TaskIdAt(i).ToString())) {
+      return WaitReason::kMayBeRunning;
+    }
+  }
+  const auto tasks = static_cast<int>(step.tasks_.size());
+  auto demand = step.step_->demand_;
+  if (step.step_->is_gang_) {
+    if (step.waiting_count_ < tasks) {
+      return WaitReason::kGangEnding;
+    }
+    for (auto i = 1; i < tasks; ++i) {
+      demand += step.step_->demand_;
+    }
+  }
+  if (!IsWithinTeamLimit(record.team_, demand)) {
+    return WaitReason::kTeamLimit;
+  }
+  return FindWaitReason(counts, step.is_advice_pending_);
+}
+
+auto Dispatcher::ReportStalledSteps(Millis now_ms) -> void {
+  if (now_ms < next_stall_check_ms_) {
+    return;
+  }
+  next_stall_check_ms_ = now_ms + kStallCheckIntervalMs;
+  struct StalledStep {
+    const StepRun* step_;
+    Millis waited_ms_;
+    WorkerCounts counts_;
+    WaitReason reason_;
+  };
+  std::vector<StalledStep> stalled;
+  for (const auto& [key, step] : waiting_) {
+    const auto since = StalledSinceMs(*step);
+    if (!since.has_value() || now_ms - *since < kStallThresholdMs) {
+      continue;
+    }
+    const auto* queue = FindQueuePolicy(step->job_->record().queue_);
+    const auto counts =
+        queue == nullptr ? WorkerCounts{} : CountWorkers(*step, *queue, now_ms);
+    stalled.push_back(
+        {step, now_ms - *since, counts, ExplainWait(*step, queue, counts)});
+    if (stalled.size() == kMaxExaminedSteps) {
+      break;
+    }
+  }
+  std::stable_sort(stalled.begin(), stalled.end(),
+                   [](const StalledStep& a, const StalledStep& b) {
+                     return IsExpectedUnderLoad(a.reason_) <
+                            IsExpectedUnderLoad(b.reason_);
+                   });
+  stalled.resize(std::min(stalled.size(), kMaxReportedSteps));
+  for (const auto& [step, waited_ms, counts, reason] : stalled) {
+    metrics_->Increment(FleetCounter::kStallsReported);
+    LogEvent(Event::kFleetStepStalled,
+             {{"step", step->name_},
+              {"queue", step->job_->record().queue_},
+              {"team", step->job_->record().team_},
+              {"waited_ms", std::to_string(waited_ms)},
+              {"tasks", std::to_string(step->waiting_count_)},
+              {"reason", std::string(WaitReasonName(reason))},
+              {"workers", std::to_string(counts.in_service_)},
+              {"usable", std::to_string(counts.usable_)},
+              {"fitting", std::to_string(counts.fitting_)},
+              {"unreserved", std::to_string(counts.unreserved_)},
+              {"allowed", std::to_string(counts.allowed_)},
+              {"ticketed", std::to_string(counts.ticketed_)}});
+  }
+}
+
+}  // namespace lentilscale::fleet
--- a/fleet/fleet_metrics.h
+++ b/fleet/fleet_metrics.h
@@ -31,6 +31,7 @@
   kAdviceCalls,
   kTakeOvers,
   kWorkersSilent,
+  kStallsReported,
   kCount,
 };
 
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -16,6 +16,7 @@
 #include "fleet/job.h"
 #include "fleet/progress_recorder.h"
 #include "fleet/store_keys.h"
+#include "fleet/wait_reason.h"
 #include "lentilscale/log.h"
 
 namespace lentilscale::fleet {
@@ -440,4 +441,32 @@
              std::string::npos);
 }
 
+// Guards against reports that blame a condition that some worker meets.
+BOOST_AUTO_TEST_CASE(the_first_condition_without_a_worker_is_the_wait_reason) {
+  const WorkerCounts all{1, 1, 1, 1, 1, 1, 1};
+  BOOST_TEST((FindWaitReason(all, true) == WaitReason::kPlaceable));
+  struct Case {
+    int WorkerCounts::*count_;
+    WaitReason reason_;
+  };
+  for (const auto& c :
+       {Case{&WorkerCounts::ticketed_, WaitReason::kNoTicket},
+        Case{&WorkerCounts::allowed_, WaitReason::kNotAllowed},
+        Case{&WorkerCounts::within_limit_, WaitReason::kWorkerLimit},
+        Case{&WorkerCounts::unreserved_, WaitReason::kReserved},
+        Case{&WorkerCounts::fitting_, WaitReason::kNoCapacity},
+        Case{&WorkerCounts::usable_, WaitReason::kNoUsableWorker}}) {
+    auto counts = all;
+    counts.*c.count_ = 0;
+    BOOST_TEST_CONTEXT(WaitReasonName(c.reason_)) {
+      BOOST_TEST((FindWaitReason(counts, false) == c.reason_));
+    }
+  }
+  auto unticketed = all;
+  unticketed.ticketed_ = 0;
+  BOOST_TEST((FindWaitReason(unticketed, true) == WaitReason::kAdvicePending));
+  BOOST_TEST(WaitReasonName(WaitReason::kNoQueue) == "no_queue");
+  BOOST_TEST(WaitReasonName(WaitReason::kPlaceable) == "placeable");
+}
+
 }  // namespace lentilscale::fleet
