Count the workers that advice allows before those with capacity

Change: the conditions are checked in the order advice, usable, capacity, reservations, limit, ticket.

--- a/fleet/wait_reason.cc
+++ b/fleet/wait_reason.cc
@@ -12,8 +12,8 @@
 // By the order of WaitReason.
 constexpr auto kReasonNames = std::to_array<std::string_view>(
     {"no_queue", "no_rights", "may_be_running", "gang_ending", "team_limit",
-     "no_usable_worker", "no_capacity", "reserved", "worker_limit",
-     "not_allowed", "advice_pending", "no_ticket", "placeable"});
+     "not_allowed", "no_usable_worker", "no_capacity", "reserved",
+     "worker_limit", "advice_pending", "no_ticket", "placeable"});
 
 }  // namespace
 
@@ -23,6 +23,9 @@
 
 auto FindWaitReason(const WorkerCounts& counts, bool is_advice_pending)
     -> WaitReason {
+  if (counts.allowed_ == 0) {
+    return WaitReason::kNotAllowed;
+  }
   if (counts.usable_ == 0) {
     return WaitReason::kNoUsableWorker;
   }
@@ -35,9 +38,6 @@
   if (counts.within_limit_ == 0) {
     return WaitReason::kWorkerLimit;
   }
-  if (counts.allowed_ == 0) {
-    return WaitReason::kNotAllowed;
-  }
   if (counts.ticketed_ == 0) {
     return is_advice_pending ? WaitReason::kAdvicePending
                              : WaitReason::kNoTicket;
--- a/fleet/wait_reason.h
+++ b/fleet/wait_reason.h
@@ -27,14 +27,14 @@
   kGangEnding,
   // The team's upper limit.
   kTeamLimit,
+  // The advice service refuses all workers.
+  kNotAllowed,
   kNoUsableWorker,
   kNoCapacity,
   // All capacity is reserved for other steps.
   kReserved,
   // The step's limit of tasks per worker.
   kWorkerLimit,
-  // The advice service refuses all workers with capacity.
-  kNotAllowed,
   kAdvicePending,
   // Advice is due but has not been requested, or the ticket has expired.
   kNoTicket,
@@ -48,6 +48,8 @@
 // conditions before it.
 struct WorkerCounts {
   int in_service_ = 0;
+  // Not refused by the advice service.
+  int allowed_ = 0;
   int usable_ = 0;
   // With enough unused capacity for one task.
   int fitting_ = 0;
@@ -55,8 +57,6 @@
   int unreserved_ = 0;
   // Below the step's limit of tasks per worker.
   int within_limit_ = 0;
-  // Not refused by the advice service.
-  int allowed_ = 0;
   // With a valid ticket, if the queue needs one.
   int ticketed_ = 0;
 };
