--- a/fleet/dispatcher_stalls.cc
+++ b/fleet/dispatcher_stalls.cc
@@ -52,6 +52,12 @@
       continue;
     }
     ++counts.in_service_;
+    const auto allowed = step.advice_by_worker_.find(id);
+    if (queue.advice_.has_value() && allowed != step.advice_by_worker_.end() &&
+        !allowed->second) {
+      continue;
+    }
+    ++counts.allowed_;
     if (!worker.IsUsable(now_ms)) {
       continue;
     }
@@ -73,12 +79,6 @@
       continue;
     }
     ++counts.within_limit_;
-    const auto allowed = step.advice_by_worker_.find(id);
-    if (queue.advice_.has_value() && allowed != step.advice_by_worker_.end() &&
-        !allowed->second) {
-      continue;
-    }
-    ++counts.allowed_;
     counts.ticketed_ += HasValidTicket(worker, step, queue, now_ms) ? 1 : 0;
   }
   return counts;
@@ -157,10 +157,10 @@
               {"tasks", std::to_string(step->waiting_count_)},
               {"reason", std::string(WaitReasonName(reason))},
               {"workers", std::to_string(counts.in_service_)},
+              {"allowed", std::to_string(counts.allowed_)},
               {"usable", std::to_string(counts.usable_)},
               {"fitting", std::to_string(counts.fitting_)},
               {"unreserved", std::to_string(counts.unreserved_)},
-              {"allowed", std::to_string(counts.allowed_)},
               {"ticketed", std::to_string(counts.ticketed_)}});
   }
 }
