Tell a successor when the previous owner's leases expire

A task that is to last did not run for over 9 s although there was capacity for it. Cause: a new owner starts no recovered task of a service while a worker of it has not answered and may hold a lease. It counted 5.6 s from its own claim, because it does not know what the previous owner granted. If workers are lost for good and their owner is replaced afterwards, the waits add up: the time before the hand-over, the full lease again, then advice. Change: an owner that gives up its rights sends its successor the time left of its last lease on each worker. It grants nothing afterwards, so the time is an upper bound; only the next epoch uses it. The successor forgets unclaimed workers one by one as these leases expire. Without the report (the owner was killed) it waits as before.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -104,6 +104,16 @@
   auto CountQueuedJobs(const std::string& queue) const
       -> std::optional<std::int64_t>;
 
+  // Returns, for each worker on which runs may be active, when the leases there
+  // will have expired (BootMs) if this dispatcher grants no more. The caller
+  // must have given up the rights.
+  auto LeaseExpiries() const -> std::map<std::string, Millis>;
+  // Shortens the wait for workers that do not answer. `expiries` are what
+  // LeaseExpiries returned to the owner just before this one, as BootMs of this
+  // instance.
+  auto ApplyLeaseExpiries(const std::map<std::string, Millis>& expiries)
+      -> void;
+
   auto token() const -> std::int64_t { return claim_.epoch_; }
   auto worker_count() const -> std::size_t { return workers_.size(); }
   auto running_count() const -> std::size_t;
@@ -121,6 +131,8 @@
     // True if the worker was draining: only `tasks_` can be running there.
     bool is_draining_ = false;
     std::set<std::string> tasks_;
+    // When all runs that the previous owner started there must have ended.
+    Millis lease_expiry_ms_ = 0;
   };
   // Results of the reads that a new owner sends to the store.
   struct RecoveryReads {
@@ -133,6 +145,9 @@
     int pending_ = 4;
   };
 
+  // Returns when the leases of an unclaimed worker have expired if the previous
+  // owner has said nothing about it.
+  auto DefaultLeaseExpiryMs() const -> Millis;
   auto ReadRecoveryState() -> void;
   auto OnRecoveryReads(const RecoveryReads& reads) -> void;
   auto ScheduleReadRetry() -> void;
@@ -209,14 +224,15 @@
   // serving tasks on the same worker.
   auto ThrottleFillingTasks(FleetWorker& worker, const HoldResult& result,
                             Millis now_ms) -> void;
-  // Removes lost runs and departed workers, sends due stop orders and Hold
-  // calls, and ends the wait for unclaimed workers once their leases have
-  // expired.
+  // Removes lost runs and departed workers, and sends due stop orders and Hold
+  // calls.
   auto CheckWorkers(Millis now_ms) -> void;
   // Returns true if a task of a recovered job cannot be running on a worker
   // that has not answered since this instance took over.
   auto IsKnownNotRunning(const std::string& service,
                          const std::string& task) const -> bool;
+  // Ends the wait for unclaimed workers whose leases have expired.
+  auto ForgetExpiredUnclaimedWorkers(Millis now_ms) -> void;
 
   // dispatcher_placement.cc
   auto RequestPlacementPass() -> void;
@@ -335,6 +351,9 @@
   std::map<std::string, FleetWorker> workers_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
+  // Lease expiries from the previous owner that arrived before its record of
+  // workers was read.
+  std::map<std::string, Millis> early_lease_expiries_;
   // Smoothed share of the named workers that the advice service allows, by
   // queue.
   std::map<std::string, double> allowed_share_;
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -4,6 +4,9 @@
 // The reads are sent in parallel, since no task is placed after a take-over
 // until all of them have completed.
 
+#include <algorithm>
+#include <utility>
+
 #include "fleet/dispatcher.h"
 #include "fleet/store_keys.h"
 #include "lentilscale/error.h"
@@ -20,9 +23,51 @@
 constexpr Millis kWatchPauseMs = 250;
 // Time for which the store holds a watch open without changes.
 constexpr Millis kWatchWaitMs = 2000;
+// Allowance for the previous owner's grants that crossed the claim.
+constexpr Millis kTakeOverMarginMs = 500;
 
 }  // namespace
 
+// The previous owner may have granted leases until the claim.
+auto Dispatcher::DefaultLeaseExpiryMs() const -> Millis {
+  return claim_.claimed_ms_ +
+         static_cast<Millis>(static_cast<double>(options_.lease_ms_) /
+                             kMinWorkerClockRate) +
+         kTakeOverMarginMs;
+}
+
+auto Dispatcher::LeaseExpiries() const -> std::map<std::string, Millis> {
+  std::map<std::string, Millis> expiries;
+  if (!is_state_read_) {
+    return expiries;
+  }
+  for (const auto& [id, worker] : unclaimed_workers_) {
+    expiries[id] = worker.lease_expiry_ms_;
+  }
+  for (const auto& [id, worker] : workers_) {
+    // Before the first grant, the worker may hold a lease of an earlier owner.
+    if (worker.is_claimed_ && worker.latest_lease_expiry_ms_ != 0) {
+      expiries[id] = worker.latest_lease_expiry_ms_;
+    }
+  }
+  return expiries;
+}
+
+auto Dispatcher::ApplyLeaseExpiries(
+    const std::map<std::string, Millis>& expiries) -> void {
+  if (!is_state_read_) {
+    early_lease_expiries_ = expiries;
+    return;
+  }
+  for (const auto& [id, expiry_ms] : expiries) {
+    if (const auto it = unclaimed_workers_.find(id);
+        it != unclaimed_workers_.end()) {
+      it->second.lease_expiry_ms_ =
+          std::min(it->second.lease_expiry_ms_, expiry_ms);
+    }
+  }
+}
+
 auto Dispatcher::ScheduleReadRetry() -> void {
   RunAfter(loop_, kReadRetryMs, [this, alive = is_alive_] {
     if (*alive) {
@@ -90,6 +135,7 @@
         const auto& entry = body["workers"][id];
         auto& worker = unclaimed_workers_[id];
         worker.service_ = entry["service"].asString();
+        worker.lease_expiry_ms_ = DefaultLeaseExpiryMs();
         worker.is_draining_ = entry["tasks"].isArray();
         for (const auto& task : entry["tasks"]) {
           worker.tasks_.insert(task.asString());
@@ -101,6 +147,7 @@
     }
   }
   RecoverJobs();
+  ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
   OnWorkersRead(reads.worker_entries_);
 }
 
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -23,8 +23,6 @@
 // An entry expires after three heartbeats without an update. One that vanishes
 // within this many heartbeats of its last update was deleted by the worker.
 constexpr Millis kFreshHeartbeats = 2;
-// Tasks of the previous owner end within this time after its leases expire.
-constexpr Millis kTakeOverMarginMs = 500;
 // Number of jobs with a failed run, without a successful run in between, at
 // which a worker is quarantined.
 constexpr std::size_t kQuarantineFailures = 2;
@@ -192,20 +190,28 @@
     workers_.erase(id);
     recorder_.MarkDirty(kWorkersKey);
   }
-  if (!unclaimed_workers_.empty() && is_worker_list_read_ &&
-      now_ms >
-          claim_.claimed_ms_ +
-              static_cast<Millis>(options_.lease_ms_ / kMinWorkerClockRate) +
-              kTakeOverMarginMs) {
-    LogEvent(
-        Event::kFleetTakenOver,
-        {{"epoch", std::to_string(claim_.epoch_)},
-         {"age_ms", std::to_string(now_ms - claim_.claimed_ms_)},
-         {"unclaimed_workers", std::to_string(unclaimed_workers_.size())}});
-    unclaimed_workers_.clear();
-    recorder_.MarkDirty(kWorkersKey);
-    RequestPlacementPass();
+  ForgetExpiredUnclaimedWorkers(now_ms);
+}
+
+auto Dispatcher::ForgetExpiredUnclaimedWorkers(Millis now_ms) -> void {
+  if (!is_worker_list_read_) {
+    return;
   }
+  const auto expired =
+      std::erase_if(unclaimed_workers_, [&](const auto& entry) {
+        return now_ms > entry.second.lease_expiry_ms_;
+      });
+  if (expired == 0) {
+    return;
+  }
+  if (unclaimed_workers_.empty()) {
+    LogEvent(Event::kFleetTakenOver,
+             {{"epoch", std::to_string(claim_.epoch_)},
+              {"age_ms", std::to_string(now_ms - claim_.claimed_ms_)},
+              {"unclaimed_workers", std::to_string(expired)}});
+  }
+  recorder_.MarkDirty(kWorkersKey);
+  RequestPlacementPass();
 }
 
 auto Dispatcher::IsKnownNotRunning(const std::string& service,
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -39,6 +39,8 @@
 // send new connections elsewhere.
 constexpr Millis kStopAcceptingDelayMs = 3000;
 constexpr Millis kDrainPollIntervalMs = 50;
+constexpr Millis kLeaseReportRetryMs = 100;
+constexpr int kMaxLeaseReportAttempts = 5;
 // Time reserved between the end of draining and the platform's kill.
 constexpr Millis kExitMarginMs = 700;
 
@@ -65,7 +67,7 @@
             peer_client_.RequestAdvice(address, request, std::move(callback));
           }) {}
 
-FleetNode::~FleetNode() = default;
+FleetNode::~FleetNode() { *is_alive_ = false; }
 
 auto FleetNode::Create(uv_loop_t* loop, const FleetNodeOptions& options,
                        const FleetNodeDependencies& dependencies)
@@ -90,8 +92,8 @@
                         options.owner_lease_ttl_ms_, options.processor_cores_},
       Election::Hooks{
           [raw](const OwnerClaim& claim) { raw->OnElected(claim); },
-          [raw](const std::string& /*reason*/) { raw->dispatcher_.reset(); },
-          [raw] { raw->owner_connection_refusals_ = 0; }});
+          [raw](const std::string& /*reason*/) { raw->OnDeposed(); },
+          [raw] { raw->OnOwnerChanged(); }});
   node->report_timer_ = std::make_unique<RepeatingTimer>(
       loop, kReportIntervalMs, [raw] { raw->SendReport(); });
   return node;
@@ -218,6 +220,52 @@
       std::move(hooks));
 }
 
+auto FleetNode::OnDeposed() -> void {
+  if (dispatcher_ != nullptr) {
+    ended_term_ = {dispatcher_->token(), dispatcher_->LeaseExpiries()};
+    dispatcher_.reset();
+  }
+  SendLeaseExpiries(kMaxLeaseReportAttempts);
+}
+
+auto FleetNode::OnOwnerChanged() -> void {
+  owner_connection_refusals_ = 0;
+  SendLeaseExpiries(kMaxLeaseReportAttempts);
+}
+
+// Only the next owner can use the report: a later one must allow for what that
+// owner granted.
+auto FleetNode::SendLeaseExpiries(int attempts) -> void {
+  if (dispatcher_ != nullptr || ended_term_.expiries_.empty() ||
+      attempts == 0) {
+    return;
+  }
+  const auto& owner = election_->owner();
+  if (owner.address_.empty() || owner.epoch_ != ended_term_.epoch_ + 1) {
+    return;
+  }
+  LeaseExpiryReport report;
+  report.epoch_ = ended_term_.epoch_;
+  const auto now = BootMs();
+  for (const auto& [worker, expiry_ms] : ended_term_.expiries_) {
+    report.left_ms_[worker] = std::max<Millis>(0, expiry_ms - now);
+  }
+  peer_client_.SendLeaseExpiries(
+      owner.address_, report, [this, attempts](bool is_received) {
+        if (is_received) {
+          ended_term_ = {};
+          return;
+        }
+        // The new owner may not know yet that its claim succeeded.
+        RunAfter(loop_, kLeaseReportRetryMs,
+                 [this, attempts, alive = is_alive_] {
+                   if (*alive) {
+                     SendLeaseExpiries(attempts - 1);
+                   }
+                 });
+      });
+}
+
 auto FleetNode::SendReport() -> void {
   if (is_draining_) {
     return;
@@ -242,6 +290,23 @@
       });
 }
 
+auto FleetNode::ApplyLeaseExpiries(const Json::Value& body) -> void {
+  const auto epoch = RequireInt(body, "epoch", 0, INT64_MAX);
+  const auto left = GetObject(body, "left_ms");
+  if (epoch + 1 != dispatcher_->token()) {
+    return;
+  }
+  const auto now = BootMs();
+  std::map<std::string, Millis> expiries;
+  for (const auto& worker : left.getMemberNames()) {
+    expiries[worker] = now + RequireInt(left, worker.c_str(), 0, INT32_MAX);
+  }
+  LogEvent(Event::kFleetLeasesReported,
+           {{"epoch", std::to_string(epoch)},
+            {"workers", std::to_string(expiries.size())}});
+  dispatcher_->ApplyLeaseExpiries(expiries);
+}
+
 auto FleetNode::HasStoreAnsweredOthers(Millis since_ms) const -> bool {
   if (election_->IsOwner()) {
     return election_->HasStoreAnsweredPeers(since_ms);
@@ -312,6 +377,8 @@
       successor_candidates_[address] = {
           BootMs(), GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
       answer["store_age_ms"] = Json::Int64{election_->StoreAgeMs()};
+    } else if (request.path_ == "/peer/leases") {
+      ApplyLeaseExpiries(body);
     } else if (request.path_ == "/peer/job") {
       const auto job = DecodeJob(RequireString(body, "job"));
       if (!job.ok()) {
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -86,6 +86,14 @@
   auto MetricsText() -> std::string;
   auto MakeOwnerClient() -> OwnerClient;
   auto OnElected(const OwnerClaim& claim) -> void;
+  auto OnDeposed() -> void;
+  auto OnOwnerChanged() -> void;
+  // Tells the next owner until when the leases that this instance granted are
+  // valid, with up to `attempts` calls. Does nothing if another owner came in
+  // between or the next one is not known yet.
+  auto SendLeaseExpiries(int attempts) -> void;
+  // Handles a call that SendLeaseExpiries of another instance made.
+  auto ApplyLeaseExpiries(const Json::Value& body) -> void;
   // Reports this instance to the owner, unless it is the owner itself.
   auto SendReport() -> void;
   // Returns true if the store appears to have answered other instances since
@@ -110,6 +118,13 @@
   std::unique_ptr<HttpServer> readiness_server_;
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<RepeatingTimer> report_timer_;
+  // The last ownership of this instance, until the next owner has its report.
+  struct EndedTerm {
+    std::int64_t epoch_ = 0;
+    // By worker id, BootMs.
+    std::map<std::string, Millis> expiries_;
+  };
+  EndedTerm ended_term_;
   int owner_connection_refusals_ = 0;
   // When the owner last answered a report, and when the store had last answered
   // the owner according to that report's answer.
@@ -123,6 +138,7 @@
   // By peer address.
   std::map<std::string, SuccessorCandidate> successor_candidates_;
   bool is_draining_ = false;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace lentilscale::fleet
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -82,6 +82,22 @@
        });
 }
 
+auto PeerClient::SendLeaseExpiries(const std::string& address,
+                                   const LeaseExpiryReport& report,
+                                   std::function<void(bool)> callback) -> void {
+  Json::Value body(Json::objectValue);
+  body["epoch"] = Json::Int64{report.epoch_};
+  body["left_ms"] = Json::Value(Json::objectValue);
+  for (const auto& [worker, left_ms] : report.left_ms_) {
+    body["left_ms"][worker] = Json::Int64{left_ms};
+  }
+  Send(address, "/peer/leases", body, kPeerTimeoutMs,
+       [callback = std::move(callback)](const HttpResult& http) {
+         callback(http.outcome_ == HttpOutcome::kAnswered &&
+                  http.status_ == 200);
+       });
+}
+
 auto PeerClient::NotifyJob(const std::string& address, const JobRecord& job)
     -> void {
   Json::Value body(Json::objectValue);
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -20,7 +20,9 @@
 #ifndef LENTILSCALE_FLEET_PEER_CLIENT_H_
 #define LENTILSCALE_FLEET_PEER_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -40,6 +42,15 @@
   Millis claim_delay_ms_ = 0;
 };
 
+// What an owner that has given up its rights tells its successor.
+struct LeaseExpiryReport {
+  // The epoch of the sender's ownership.
+  std::int64_t epoch_ = 0;
+  // By worker id: the time left until the last lease that the sender granted
+  // there has expired.
+  std::map<std::string, Millis> left_ms_;
+};
+
 class PeerClient {
  public:
   explicit PeerClient(HttpClient* http_client) : http_client_(http_client) {}
@@ -54,6 +65,11 @@
   // record has `owner_revision`.
   auto RequestClaim(const std::string& address, std::int64_t owner_revision)
       -> void;
+  // Sends the report to the new owner at `address`. `callback` receives true if
+  // it was received.
+  auto SendLeaseExpiries(const std::string& address,
+                         const LeaseExpiryReport& report,
+                         std::function<void(bool)> callback) -> void;
   // Announce an accepted job or cancellation to the owner, without
   // confirmation.
   auto NotifyJob(const std::string& address, const JobRecord& job) -> void;
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -60,6 +60,7 @@
     {Event::kBadRecord, "bad_record", LogLevel::kWarning},
     {Event::kProgressNotRecorded, "progress_not_recorded", LogLevel::kWarning},
     {Event::kFleetStateNotRead, "fleet_state_not_read", LogLevel::kWarning},
+    {Event::kFleetLeasesReported, "fleet_leases_reported", LogLevel::kInfo},
     {Event::kFleetRequestRefused, "fleet_request_refused", LogLevel::kInfo},
     {Event::kFleetJobAccepted, "fleet_job_accepted", LogLevel::kInfo},
     {Event::kFleetCancelAccepted, "fleet_cancel_accepted", LogLevel::kInfo},
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -67,6 +67,7 @@
   kBadRecord = 6007,
   kProgressNotRecorded = 6008,
   kFleetStateNotRead = 6009,
+  kFleetLeasesReported = 6010,
   kFleetRequestRefused = 6101,
   kFleetJobAccepted = 6102,
   kFleetCancelAccepted = 6103,
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -631,6 +631,58 @@
   fleet.CheckPromises();
 }
 
+// Guards against a lasting task that stays down because each new owner waits
+// anew for a lease that the previous owner knows to expire earlier.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
+  Fleet fleet;
+  const auto route = [](const char* name, const char* service, int priority) {
+    return fmt::format(
+        R"({{"name":"{0}","host":"h.example","prefix":"/{0}/","service":"{1}",)"
+        R"("priority":{2},"max_attempts":3,"stretch":2.0,)"
+        R"("target_duration_ms":300,"public":true}})",
+        name, service, priority);
+  };
+  fleet.platform().store().Put(
+      "op/config",
+      fmt::format(
+          R"({{"version":9,"routes":[{},{}],"services":[],"limits":{{}},)"
+          R"("tenants":[{{"name":"a","api_keys":["key-a"],"weight":1}}]}})",
+          route("q", "s", 1), route("p", "t", 0)));
+  for (const auto* id : {"j-0", "j-1"}) {
+    fleet.platform().AddWorker(id, "t", 4000, 4);
+  }
+  fleet.Start(2, 2);
+  constexpr auto kOtherJob = "00000000000000a2";
+  constexpr auto kBody =
+      R"({"spec":"ms=0","steps":[{"count":1,"cpu":1000,"long_running":true}]})";
+  for (const auto* path : {"/q/00000000000000a1", "/p/00000000000000a2"}) {
+    BOOST_REQUIRE_EQUAL(fleet.Call(0, "POST", path, kBody).status_, 200);
+  }
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return fleet.platform().RunningOf(kJob) == 1 &&
+           fleet.platform().RunningOf(kOtherJob) == 1;
+  }));
+  const auto cut_busy_worker = [&](const std::vector<std::string>& ids) {
+    for (const auto& id : ids) {
+      auto& worker = fleet.platform().worker(id);
+      worker.SetCut(worker.running_count() > 0);
+    }
+  };
+  cut_busy_worker({"i-0", "i-1"});
+  // The second lease is granted this much later than the first.
+  fleet.RunFor(2500);
+  cut_busy_worker({"j-0", "j-1"});
+  fleet.node(fleet.OwnerNode()).Drain([] {});
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  // Orders of the same placement pass arrive within this time.
+  fleet.RunFor(200);
+  BOOST_TEST(fleet.platform().StartsOf(kOtherJob) == 1);
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.platform().StartsOf(kOtherJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
