Let the walk tell what led to two runs of a task

"runs on" violations printed no story, and epochs were told under no task. They now print the task's story and the fleet's: accepted jobs, claims, lost rights, crashed owners, cut workers, when a token reaches a worker, and stops.

--- a/testing/walk_model_stand_in.cc
+++ b/testing/walk_model_stand_in.cc
@@ -243,6 +243,9 @@
           return {WorkerStatus::kFenced, clock};
         }
         target.token_ = std::max(target.token_, fencing_token);
+        world_->Tell(run.task_,
+                     fmt::format("run {} is stopped on {}, token {}", run.run_,
+                                 target.id_, fencing_token));
         auto& closed = target.closed_runs_[run.task_];
         closed = std::max(closed, run.run_);
         const auto it = target.running_.find(run.task_);
@@ -309,6 +312,10 @@
                                          callback = std::move(callback)] {
     auto& target = world_->worker(id);
     if (!target.is_cut_ && !target.is_down_) {
+      if (order.fencing_token_ > target.token_) {
+        world_->Tell(
+            "", fmt::format("token {} reaches {}", order.fencing_token_, id));
+      }
       if (order.fencing_token_ < target.token_ &&
           world_->left_out() != LeftOut::kFencing) {
         HoldResult result;
--- a/testing/walk_world_stand_in.cc
+++ b/testing/walk_world_stand_in.cc
@@ -135,8 +135,9 @@
   auto& history = histories_[ref.task_];
   for (const auto& [other_id, other] : workers_) {
     if (other.running_.contains(ref.task_)) {
-      Violate(
-          fmt::format("{} runs on {} and {}", ref.task_, other_id, worker.id_));
+      Violate(fmt::format("{} runs on {} and {}{}\n  the fleet:{}", ref.task_,
+                          other_id, worker.id_, history.story_,
+                          histories_[""].story_));
     }
   }
   if (history.is_done_acknowledged_) {
@@ -267,8 +268,12 @@
   auto old = owners_.back();
   if (Chance(0.5)) {
     old->dispatcher_.reset();
+    Tell("", fmt::format("epoch {} crashes", epoch_));
   } else {
-    Later(Between(0, 300), [old] { old->has_rights_ = false; });
+    Later(Between(0, 300), [this, old, epoch = epoch_] {
+      old->has_rights_ = false;
+      Tell("", fmt::format("epoch {} loses its rights", epoch));
+    });
     Later(Between(300, 600), [old] { old->dispatcher_.reset(); });
   }
   Later(Between(0, 200), [this] { TakeOver(); });
@@ -292,7 +297,11 @@
       break;
     case Fault::kWorkerCut:
       worker.is_cut_ = true;
-      Later(Between(50, 1400), [&worker] { worker.is_cut_ = false; });
+      Tell("", fmt::format("{} is cut off", worker.id_));
+      Later(Between(50, 1400), [this, &worker] {
+        worker.is_cut_ = false;
+        Tell("", fmt::format("{} is back", worker.id_));
+      });
       break;
     case Fault::kWorkerCrash:
       if (!worker.is_down_) {
@@ -335,6 +344,7 @@
     jobs_[id].push_back(step.count_);
   }
   store_.Put(JobKey(id), EncodeJob(record));
+  Tell("", fmt::format("job {} is accepted", id));
 }
 
 auto World::EndLease(ModelWorker& worker) -> void {
