Wait for unclaimed workers with every job, not with the first read's alone

Cause: only jobs in the new owner's first read of the inbox counted as possibly running. A job that arrives later, by the watch or from a peer, was placed at once. The previous owner goes on until it learns of the claim, so it may have been told of that job too and have started it on a worker that the new owner has not claimed.

Change: a job inserted while workers of the previous owner have not answered is treated like the recovered ones. The flag of Job is renamed, since it no longer says where the job came from.

Cost: while such a worker stays silent, new jobs for its service wait as well, until the previous leases must have expired.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -2,10 +2,11 @@
 // workers, a pass over all waiting steps takes well under a millisecond, and
 // passes are coalesced.
 //
-// Jobs that were accepted before the claim are marked as recovered. Their tasks
-// may be running on a worker that has not answered yet. Each is placed only
-// once every worker that may be running it has answered or its lease must have
-// expired.
+// A previous owner may have started tasks of any job that is inserted while one
+// of its workers has not answered, also of a job that was accepted after the
+// claim: it goes on until it learns of the claim. Each of these tasks is placed
+// only once every worker that may be running it has answered or its lease must
+// have expired.
 
 #include "fleet/dispatcher.h"
 
@@ -91,7 +92,8 @@
     }
     revision = it->second.revision_;
   }
-  auto job = std::make_unique<Job>(record, progress, is_recovered);
+  auto job = std::make_unique<Job>(record, progress,
+                                   is_recovered || !unclaimed_workers_.empty());
   recorder_.SetRevision(ProgressKey(record.id_), revision);
   if (job->IsEnded()) {
     job->is_end_recorded_ = true;
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -211,8 +211,8 @@
   // calls, and ends the wait for unclaimed workers once their leases have
   // expired.
   auto CheckWorkers(Millis now_ms) -> void;
-  // Returns true if a task of a recovered job cannot be running on a worker
-  // that has not answered since this instance took over.
+  // Returns true if the task cannot be running on a worker that has not
+  // answered since this instance took over.
   auto IsKnownNotRunning(const std::string& service,
                          const std::string& task) const -> bool;
 
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -275,7 +275,7 @@
     if (task.phase_ != Task::Phase::kWaiting) {
       continue;
     }
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue.service_,
                            step.TaskIdAt(static_cast<int>(i)).ToString())) {
       may_be_running = true;
@@ -308,7 +308,7 @@
     return false;
   }
   for (auto i = 0; i < count; ++i) {
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue.service_, step.TaskIdAt(i).ToString())) {
       return false;
     }
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -46,11 +46,11 @@
   return {job_->record().id_, occurrence_, step_number_, index};
 }
 
-Job::Job(JobRecord record, ProgressRecord progress, bool is_recovered)
+Job::Job(JobRecord record, ProgressRecord progress, bool may_be_running)
     : record_(std::move(record)),
       progress_(std::move(progress)),
       critical_paths_(record_.steps_.size()),
-      is_recovered_(is_recovered),
+      may_be_running_(may_be_running),
       next_occurrence_(progress_.occurrences_done_) {
   // A step depends only on steps with lower numbers, so the reverse order
   // completes each critical path before it is extended to a dependency.
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -5,7 +5,7 @@
 // consistent and return the steps that became ready. The methods read no clock
 // and do no I/O.
 //
-//   Job job(record, progress, is_recovered);
+//   Job job(record, progress, may_be_running);
 //   for (auto* step : job.CreateDueOccurrences(WallMs(), BootMs())) { ... }
 //   for (auto* step : job.MarkDone(*placed_step, index, BootMs())) { ... }
 
@@ -110,14 +110,14 @@
 class Job {
  public:
   // `progress` is the stored record, or a default one if the store has none.
-  // `is_recovered` is true if the job was accepted before this instance took
-  // over, so that its tasks may already be running on workers.
-  Job(JobRecord record, ProgressRecord progress, bool is_recovered);
+  // `may_be_running` is true if a previous owner may have started tasks of the
+  // job.
+  Job(JobRecord record, ProgressRecord progress, bool may_be_running);
   Job(const Job&) = delete;
   auto operator=(const Job&) -> Job& = delete;
 
   auto record() const -> const JobRecord& { return record_; }
-  auto is_recovered() const -> bool { return is_recovered_; }
+  auto may_be_running() const -> bool { return may_be_running_; }
   auto state() const -> JobState { return progress_.state_; }
   auto IsEnded() const -> bool {
     return progress_.state_ >= JobState::kCompleted;
@@ -199,7 +199,7 @@
   };
   // By step number.
   std::vector<CriticalPath> critical_paths_;
-  bool is_recovered_;
+  bool may_be_running_;
   std::int64_t next_occurrence_ = 0;
   // Steps by occurrence number and step number.
   std::map<std::int64_t, std::vector<std::unique_ptr<StepRun>>> occurrences_;
--- /dev/null
+++ b/testing/fleet_takeover_test.cc
@@ -0,0 +1,334 @@
+// What a new owner does about tasks that a previous owner started while the new
+// one already read its state: it may learn of a run or its end before it learns
+// of the job. The test answers the calls of one Dispatcher by hand, so the
+// order of events is fixed.
+
+#define BOOST_TEST_MODULE fleet_takeover
+#include <fmt/format.h>
+#include <uv.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/dispatcher.h"
+#include "fleet/store_keys.h"
+#include "lentilscale/log.h"
+#include "lentilscale/timer.h"
+
+namespace lentilscale::fleet {
+namespace {
+
+constexpr std::int64_t kEpoch = 2;
+constexpr std::int64_t kCapacityMilli = 4000;
+// A task of the previous owner, and its run.
+const RunRef kRun{"a1.0.0.0", 5};
+
+// Answers reads at once and watches when the test says so.
+class FakeStore : public RecordStore {
+ public:
+  explicit FakeStore(uv_loop_t* loop) : loop_(loop) {}
+
+  auto Read(const std::string& key, ReadCallback callback) -> void override {
+    ++reads_;
+    Answer(Matching(key, true), callback);
+  }
+  auto ReadPrefix(const std::string& prefix, ReadCallback callback)
+      -> void override {
+    Answer(Matching(prefix, false), callback);
+  }
+  auto Watch(const std::string&, std::int64_t, Millis, ReadCallback callback)
+      -> void override {
+    watch_ = std::move(callback);
+  }
+  auto Commit(const Transaction& transaction, CommitCallback callback)
+      -> void override {
+    ++revision_;
+    for (const auto& put : transaction.puts_) {
+      records_[put.key_] = {put.key_, put.value_, revision_};
+    }
+    RunAfter(loop_, 0, [callback, revision = revision_] {
+      callback({StoreStatus::kOk, revision, {}});
+    });
+  }
+  auto GrantLease(Millis, LeaseCallback) -> void override {}
+  auto RenewLease(std::int64_t, LeaseCallback) -> void override {}
+  auto RevokeLease(std::int64_t) -> void override {}
+
+  auto Put(const std::string& key, const std::string& value) -> void {
+    records_[key] = {key, value, ++revision_};
+  }
+  auto IsWatched() const -> bool { return watch_ != nullptr; }
+  // Delivers records of the inbox to the pending watch.
+  auto AnswerWatch(const std::vector<std::string>& keys) -> void {
+    ReadResult result;
+    result.status_ = StoreStatus::kOk;
+    result.revision_ = revision_;
+    for (const auto& key : keys) {
+      result.records_.push_back(records_.at(key));
+    }
+    std::exchange(watch_, nullptr)(result);
+  }
+  auto Progress(const std::string& job) const -> ProgressRecord {
+    const auto it = records_.find(ProgressKey(job));
+    return it == records_.end() ? ProgressRecord{}
+                                : *DecodeProgress(it->second.value_);
+  }
+
+  bool is_down_ = false;
+  int reads_ = 0;
+
+ private:
+  auto Matching(const std::string& prefix, bool is_whole_key) const
+      -> ReadResult {
+    ReadResult result;
+    result.sent_ms_ = BootMs();
+    if (is_down_) {
+      return result;
+    }
+    result.revision_ = revision_;
+    for (const auto& [key, record] : records_) {
+      if (is_whole_key ? key == prefix : key.starts_with(prefix)) {
+        result.records_.push_back(record);
+      }
+    }
+    result.status_ = is_whole_key && result.records_.empty()
+                         ? StoreStatus::kAbsent
+                         : StoreStatus::kOk;
+    return result;
+  }
+  auto Answer(const ReadResult& result, const ReadCallback& callback) -> void {
+    RunAfter(loop_, 0, [callback, result] { callback(result); });
+  }
+
+  uv_loop_t* loop_;
+  std::int64_t revision_ = 1;
+  std::map<std::string, Record> records_;
+  ReadCallback watch_;
+};
+
+// Accepts starts and stops; Hold calls wait until the test answers them.
+class FakeWorkers : public WorkerGateway {
+ public:
+  struct PendingHold {
+    HoldOrder order_;
+    Millis sent_ms_;
+    HoldCallback callback_;
+  };
+
+  explicit FakeWorkers(uv_loop_t* loop) : loop_(loop) {}
+
+  auto Start(const WorkerEntry& worker, const StartOrder& order,
+             OrderCallback callback) -> void override {
+    starts_.push_back(order.run_.task_ + " on " + worker.id_);
+    Accept(std::move(callback));
+  }
+  auto Stop(const WorkerEntry&, const RunRef& run, std::int64_t,
+            OrderCallback callback) -> void override {
+    stops_.push_back(run.task_);
+    Accept(std::move(callback));
+  }
+  auto Hold(const WorkerEntry& worker, const HoldOrder& order,
+            HoldCallback callback) -> void override {
+    on_hold_(worker.id_, order);
+    holds_.emplace(worker.id_,
+                   PendingHold{order, BootMs(), std::move(callback)});
+  }
+  auto Pace(const WorkerEntry&, const RunRef&, int, std::int64_t, OrderCallback)
+      -> void override {}
+
+  auto IsHeld(const std::string& worker) const -> bool {
+    return holds_.contains(worker);
+  }
+  auto Answer(const std::string& worker, const std::vector<RunRef>& running,
+              const std::vector<EndedRun>& ended) -> void {
+    const auto hold = holds_.extract(worker).mapped();
+    HoldResult result;
+    result.status_ = WorkerStatus::kOk;
+    result.incarnation_ = 1;
+    result.worker_clock_ms_ = BootMs();
+    result.sent_ms_ = hold.sent_ms_;
+    for (const auto& run : running) {
+      result.running_.push_back({run, "", 0, 0});
+    }
+    for (const auto& end : ended) {
+      if (end.number_ > hold.order_.acknowledged_end_) {
+        result.ended_.push_back(end);
+      }
+    }
+    hold.callback_(result);
+  }
+
+  std::vector<std::string> starts_;
+  std::vector<std::string> stops_;
+  std::function<void(const std::string&, const HoldOrder&)> on_hold_;
+
+ private:
+  auto Accept(OrderCallback callback) -> void {
+    RunAfter(loop_, 0, [callback = std::move(callback)] {
+      callback({WorkerStatus::kOk, BootMs()});
+    });
+  }
+
+  uv_loop_t* loop_;
+  std::map<std::string, PendingHold> holds_;
+};
+
+// A new owner of the workers s-0 and s-1, which serve the queue q, and t-0,
+// which serves the queue r.
+class TakeOver {
+ public:
+  TakeOver() : store_(loop_), workers_(loop_), advice_(nullptr, {}) {
+    SetLogLevel(LogLevel::kError);
+    auto config = std::make_shared<FleetConfig>();
+    for (const auto& [name, service] :
+         {std::pair("q", "s"), std::pair("r", "t")}) {
+      Queue queue;
+      queue.name_ = name;
+      queue.service_ = service;
+      queue.max_attempts_ = 3;
+      config->queues_.push_back(queue);
+    }
+    config_ = config;
+    workers_.on_hold_ = [this](const std::string& worker,
+                               const HoldOrder& order) {
+      acknowledged_[worker] =
+          std::max(acknowledged_[worker], order.acknowledged_end_);
+      on_hold_();
+    };
+    for (const auto* worker : {"s-0", "s-1", "t-0"}) {
+      store_.Put(std::string("w/") + worker, "");
+    }
+    store_.Put(kWorkersKey,
+               R"({"workers":{"s-0":{"service":"s"},"s-1":{"service":"s"},)"
+               R"("t-0":{"service":"t"}}})");
+  }
+
+  // Elects the new owner and runs until it has read its state.
+  auto Begin() -> void {
+    DispatcherOptions options;
+    options.worker_prefix_ = "w/";
+    DispatcherHooks hooks;
+    hooks.has_rights_ = [] { return true; };
+    hooks.step_down_ = [](const std::string& reason) { BOOST_ERROR(reason); };
+    hooks.config_ = [this] { return config_; };
+    hooks.parse_worker_ =
+        [](const std::string& key,
+           const std::string&) -> absl::StatusOr<WorkerEntry> {
+      WorkerEntry entry;
+      entry.id_ = key.substr(2);
+      entry.service_ = entry.id_.substr(0, 1);
+      entry.capacity_ = {0, kCapacityMilli, 1000, 0};
+      return entry;
+    };
+    dispatcher_ = std::make_unique<Dispatcher>(
+        loop_, &store_, &workers_, &advice_, &metrics_,
+        OwnerClaim{kEpoch, 1, BootMs()}, options, std::move(hooks));
+    Await([this] {
+      return store_.IsWatched() && workers_.IsHeld("s-0") &&
+             workers_.IsHeld("s-1") && workers_.IsHeld("t-0");
+    });
+  }
+
+  // Runs the loop until `condition` holds, for a bounded number of turns.
+  auto Await(const std::function<bool()>& condition) -> void {
+    constexpr int kMaxTurns = 1000;
+    for (auto i = 0; i < kMaxTurns && !condition(); ++i) {
+      uv_run(loop_, UV_RUN_ONCE);
+    }
+    BOOST_REQUIRE(condition());
+  }
+  // Answers the worker's next Hold call.
+  auto Answer(const std::string& worker,
+              const std::vector<RunRef>& running = {},
+              const std::vector<EndedRun>& ended = {}) -> void {
+    Await([&] { return workers_.IsHeld(worker); });
+    workers_.Answer(worker, running, ended);
+  }
+  // Stores a job with one task; nobody is told.
+  auto Accept(const std::string& id, const std::string& queue,
+              Millis first_due_ms = 0) -> void {
+    JobRecord record;
+    record.id_ = id;
+    record.queue_ = queue;
+    record.accepted_ms_ = ++accepted_ms_;
+    record.first_due_ms_ = first_due_ms;
+    record.repeat_count_ = first_due_ms == 0 ? 0 : 1;
+    Step step;
+    step.count_ = 1;
+    step.demand_.cpu_milli_ = kCapacityMilli;
+    record.steps_.push_back(step);
+    store_.Put(JobKey(id), EncodeJob(record));
+  }
+  // Lets the owner's watch deliver the jobs.
+  auto Deliver(const std::vector<std::string>& jobs) -> void {
+    std::vector<std::string> keys;
+    for (const auto& job : jobs) {
+      keys.push_back(JobKey(job));
+    }
+    Await([this] { return store_.IsWatched(); });
+    store_.AnswerWatch(keys);
+  }
+  // Runs until a pass of placement has had the chance to start all that waits:
+  // t-0 runs nothing, so a new job for it is started by the next pass.
+  auto AwaitPass() -> void {
+    const auto id = fmt::format("f{}", ++passes_);
+    Accept(id, "r");
+    Deliver({id});
+    const auto start = id + ".0.0.0 on t-0";
+    Await([&] { return Started(start) == 1; });
+    Answer("t-0", {}, {{passes_, {id + ".0.0.0", 1001}, RunEnd::kDone, ""}});
+  }
+  auto Started(const std::string& start) const -> std::int64_t {
+    return std::count(workers_.starts_.begin(), workers_.starts_.end(), start);
+  }
+  // Returns how often a task of the queue q was started.
+  auto StartsOnS() const -> std::int64_t {
+    return std::count_if(
+        workers_.starts_.begin(), workers_.starts_.end(),
+        [](const auto& start) { return !start.ends_with("t-0"); });
+  }
+
+  uv_loop_t* loop_ = uv_default_loop();
+  FakeStore store_;
+  FakeWorkers workers_;
+  // The highest end that was acknowledged, by worker.
+  std::map<std::string, std::int64_t> acknowledged_;
+  std::function<void()> on_hold_ = [] {};
+  AdviceBalancer advice_;
+  FleetMetrics metrics_;
+  std::shared_ptr<const FleetConfig> config_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  Millis accepted_ms_ = 0;
+  int passes_ = 0;
+};
+
+}  // namespace
+
+// Guards against a task that runs twice: its job arrives by the watch while a
+// worker that the previous owner started it on has not answered yet.
+BOOST_AUTO_TEST_CASE(job_of_the_watch_waits_for_unclaimed_workers) {
+  TakeOver test;
+  test.Begin();
+  test.Answer("s-1");
+  test.Answer("t-0");
+  test.Accept("a1", "q");
+  test.Deliver({"a1"});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  test.Answer("s-0", {kRun});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  BOOST_TEST(test.workers_.stops_.empty());
+  test.Answer("s-0", {}, {{1, kRun, RunEnd::kDone, ""}});
+  test.Await([&] { return test.acknowledged_["s-0"] == 1; });
+  BOOST_TEST((test.store_.Progress("a1").state_ == JobState::kCompleted));
+}
+
+}  // namespace lentilscale::fleet
