Decide on a run or end of an unknown task only when the task cannot appear

Cause: the previous owner starts jobs until it learns of the claim, so a worker may list a run or an end before the new owner's watch delivers the job. The run was stopped and the end acknowledged as if the job did not exist, and the run counted as taking nothing. The same goes for an occurrence that was due by the previous owner's clock and is not by the new one's.

Change: such a run goes on and such an end stays unacknowledged until the task is known. A job is in the store before its tasks start, so the owner reads the job's key: a read sent after the report returns the job or proves that it was removed; then the run is stopped and the end acknowledged. Without an answer from the store nothing is decided and the worker's lease is renewed as before. A worker with a run of unknown size gets no starts.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -109,11 +109,11 @@
             {"epoch", std::to_string(claim_.epoch_)}});
   if (unmatched_cancels_.erase(record.id_) > 0) {
     CancelJob(record.id_);
-    return;
   }
   for (auto* step : inserted->CreateDueOccurrences(WallMs(), BootMs())) {
     EnqueueStep(*step);
   }
+  MatchReports(record.id_, false);
 }
 
 auto Dispatcher::CancelJob(const std::string& id) -> void {
@@ -290,8 +290,9 @@
 auto Dispatcher::AdvanceDurableEnds(FleetWorker& worker) -> bool {
   while (!worker.unrecorded_ends_.empty()) {
     const auto& end = worker.unrecorded_ends_.front();
-    if (!end.record_key_.empty() &&
-        !recorder_.IsDurable(end.record_key_, end.record_version_)) {
+    if (end.unmatched_.has_value() ||
+        (!end.record_key_.empty() &&
+         !recorder_.IsDurable(end.record_key_, end.record_version_))) {
       return false;
     }
     worker.last_recorded_end_ = end.number_;
@@ -309,6 +310,7 @@
       for (auto* step : job->CreateDueOccurrences(wall, now)) {
         EnqueueStep(*step);
       }
+      MatchReports(id, false);
     }
   }
 }
@@ -350,6 +352,7 @@
   const auto now = BootMs();
   CreateDueOccurrences();
   CheckWorkers(now);
+  CheckUnmatchedJobs(now);
   if (now >= next_worker_read_ms_ && !is_reading_workers_) {
     ReadWorkers();
   }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -131,12 +131,33 @@
     int pending_ = 4;
   };
 
+  // A job that workers reported on and that is not known, or has an upcoming
+  // occurrence that they reported on.
+  struct UnmatchedJob {
+    bool is_reading_ = false;
+    // True if a worker has reported on the job since the read was sent.
+    bool is_reported_again_ = false;
+    Millis next_read_ms_ = 0;
+  };
+
   auto ReadRecoveryState() -> void;
   auto OnRecoveryReads(const RecoveryReads& reads) -> void;
   auto ScheduleReadRetry() -> void;
   auto RecoverJobs() -> void;
   auto WatchInbox() -> void;
   auto ApplyInboxRecord(const Record& record, bool is_recovered) -> void;
+  // Returns true if this owner does not know the task but may learn of it: its
+  // job may be in the store, or its occurrence is not due yet by the local
+  // clock.
+  auto IsUnmatched(const TaskId& id) -> bool;
+  auto AddUnmatchedJob(const std::string& id) -> void;
+  // Reads unmatched jobs from the store.
+  auto CheckUnmatchedJobs(Millis now_ms) -> void;
+  auto ReadUnmatchedJob(const std::string& id, UnmatchedJob& job) -> void;
+  // Handles the runs and ends that were reported before their task was known.
+  // If `is_absent` is true, the store does not have the job, and they are
+  // stopped and acknowledged.
+  auto MatchReports(const std::string& job_id, bool is_absent) -> void;
 
   // dispatcher.cc
   auto InsertJob(const JobRecord& record, bool is_recovered) -> void;
@@ -174,6 +195,10 @@
   // Handles an end in a Hold answer; one that was received before is ignored.
   auto HandleRunEnd(FleetWorker& worker, const EndedRun& end, Millis now_ms)
       -> void;
+  // Applies the end and names the record that must hold it, if its job is known
+  // and has not ended.
+  auto RecordRunEnd(FleetWorker& worker, const EndedRun& end,
+                    UnrecordedEnd& unrecorded, Millis now_ms) -> void;
   // Updates the task and its job after the end of a run.
   auto ApplyRunEnd(FleetWorker& worker, Job& job, StepRun& step,
                    const TaskId& id, const EndedRun& end, Millis now_ms)
@@ -182,7 +207,7 @@
   auto MarkOtherRunsStopping(const StepRun& step, const TaskId& id,
                              std::int64_t run) -> void;
   // Handles a run in a Hold answer. A run that is not known yet is adopted for
-  // its waiting task, or stopped.
+  // its waiting task, or stopped; if its task is unmatched, that waits.
   auto HandleRunningTask(FleetWorker& worker, const RunningTask& running,
                          Millis now_ms) -> void;
   // Removes the runs that are missing from the worker's complete list.
@@ -318,6 +343,7 @@
   std::map<std::string, Resources> team_usage_;
   // Ids of cancelled jobs that are not known yet.
   std::set<std::string> unmatched_cancels_;
+  std::map<std::string, UnmatchedJob> unmatched_jobs_;
   std::map<std::string, FleetWorker> workers_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -3,8 +3,10 @@
 // progress and the ends that were not acknowledged. At most one call per worker
 // is pending, so answers arrive in order.
 //
-// An end is acknowledged only after it is durable in the store. A run that is
-// missing from a complete list, and whose end was not reported, is lost: the
+// An end is acknowledged only after it is durable in the store. A run or an end
+// of a task that is not known (yet) is neither stopped nor acknowledged until
+// the task is known or the store shows that its job does not exist. A run that
+// is missing from a complete list, and whose end was not reported, is lost: the
 // worker restarted, or the start order never arrived.
 
 #include <fmt/format.h>
@@ -161,26 +163,37 @@
                       : end.end_ == RunEnd::kFailed ? FleetCounter::kEndsFailed
                                                     : FleetCounter::kEndsOther);
   RemoveRun(worker, end.run_.task_, end.run_.run_);
-  const auto id = TaskId::FromString(end.run_.task_);
-  auto* job = id.has_value() ? FindJob(id->job_) : nullptr;
-  auto* step =
-      job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
   LogEvent(Event::kFleetRunEnded, {{"task", end.run_.task_},
                                    {"run", std::to_string(end.run_.run_)},
                                    {"end", RunEndName(end.end_)},
                                    {"worker", worker.entry_.id_},
                                    {"number", std::to_string(end.number_)}});
-  UnrecordedEnd unrecorded{end.number_, "", 0};
-  if (job != nullptr && !job->IsEnded() && step != nullptr &&
-      job->FindTask(*id) != nullptr) {
-    ApplyRunEnd(worker, *job, *step, *id, end, now_ms);
-    unrecorded.record_key_ = ProgressKey(id->job_);
-    unrecorded.record_version_ = MarkJobDirty(id->job_);
+  UnrecordedEnd unrecorded{end.number_, "", 0, std::nullopt};
+  const auto id = TaskId::FromString(end.run_.task_);
+  if (id.has_value() && IsUnmatched(*id)) {
+    unrecorded.unmatched_ = end;
+    AddUnmatchedJob(id->job_);
+  } else {
+    RecordRunEnd(worker, end, unrecorded, now_ms);
   }
   worker.unrecorded_ends_.push_back(unrecorded);
   AdvanceDurableEnds(worker);
 }
 
+auto Dispatcher::RecordRunEnd(FleetWorker& worker, const EndedRun& end,
+                              UnrecordedEnd& unrecorded, Millis now_ms)
+    -> void {
+  const auto id = TaskId::FromString(end.run_.task_);
+  auto* job = id.has_value() ? FindJob(id->job_) : nullptr;
+  if (job == nullptr || job->IsEnded() || job->FindTask(*id) == nullptr) {
+    return;
+  }
+  ApplyRunEnd(worker, *job, *job->FindStep(id->occurrence_, id->step_), *id,
+              end, now_ms);
+  unrecorded.record_key_ = ProgressKey(id->job_);
+  unrecorded.record_version_ = MarkJobDirty(id->job_);
+}
+
 auto Dispatcher::ApplyRunEnd(FleetWorker& worker, Job& job, StepRun& step,
                              const TaskId& id, const EndedRun& end,
                              Millis now_ms) -> void {
@@ -253,7 +266,9 @@
     return;
   }
   team_usage_[placed->team_] -= placed->team_demand_;
-  if (auto* job = FindJob(placed->task_.job_); job != nullptr) {
+  // An unmatched run is not among those of its step.
+  if (auto* job = FindJob(placed->task_.job_);
+      job != nullptr && placed->phase_ != PlacedRun::Phase::kUnmatched) {
     if (auto* step =
             job->FindStep(placed->task_.occurrence_, placed->task_.step_);
         step != nullptr) {
@@ -293,6 +308,7 @@
   // tasks, but their runs may still use capacity.
   const auto* definition =
       job == nullptr ? nullptr : job->FindStepDefinition(*id);
+  run.is_demand_known_ = definition != nullptr;
   if (definition != nullptr) {
     run.demand_ = CapacityDemand(*definition);
     run.team_demand_ = definition->demand_;
@@ -303,6 +319,12 @@
     run.estimate_ms_ = definition->estimate_ms_;
     team_usage_[run.team_] += run.team_demand_;
   }
+  if (IsUnmatched(*id)) {
+    run.phase_ = PlacedRun::Phase::kUnmatched;
+    worker.Add(run);
+    AddUnmatchedJob(id->job_);
+    return;
+  }
   if (task == nullptr) {
     MarkStopping(run);
     worker.Add(run);
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -47,6 +47,7 @@
   used_ += run.demand_;
   filling_runs_ += run.fills_ ? 1 : 0;
   serving_runs_ += run.tail_target_ms_ > 0 ? 1 : 0;
+  unknown_demand_runs_ += run.is_demand_known_ ? 0 : 1;
   return runs_[{run.task_.ToString(), run.run_}] = run;
 }
 
@@ -58,6 +59,7 @@
   used_ -= it->second.demand_;
   filling_runs_ -= it->second.fills_ ? 1 : 0;
   serving_runs_ -= it->second.tail_target_ms_ > 0 ? 1 : 0;
+  unknown_demand_runs_ -= it->second.is_demand_known_ ? 0 : 1;
   runs_.erase(it);
 }
 
@@ -70,8 +72,8 @@
 auto FleetWorker::IsUsable(Millis now_ms) const -> bool {
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
          !entry_.is_draining_ && clock_updated_ms_ != 0 &&
-         hold_failures_ < kHoldFailureLimit && now_ms >= no_starts_until_ms_ &&
-         now_ms >= quarantined_until_ms_;
+         hold_failures_ < kHoldFailureLimit && unknown_demand_runs_ == 0 &&
+         now_ms >= no_starts_until_ms_ && now_ms >= quarantined_until_ms_;
 }
 
 auto FleetWorker::FreeCapacityFor(const std::string& step_name,
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -31,6 +32,9 @@
     // The start order has not been answered yet.
     kStarting,
     kRunning,
+    // The worker lists the run, but its task is not known (yet); see
+    // Dispatcher::IsUnmatched.
+    kUnmatched,
     // The stop order is repeated until the worker accepts it or answers that
     // the run is stale.
     kStopping,
@@ -38,6 +42,8 @@
   Phase phase_ = Phase::kStarting;
   TaskId task_;
   std::int64_t run_ = 0;
+  // False if the run was listed before its job was known.
+  bool is_demand_known_ = true;
   // Amounts counted against the worker's capacity and against the team's limit.
   Resources demand_;
   Resources team_demand_;
@@ -80,6 +86,8 @@
   // that does. The key is empty if the end need not be stored.
   std::string record_key_;
   std::uint64_t record_version_ = 0;
+  // The end itself while its task is not known (yet).
+  std::optional<EndedRun> unmatched_;
 };
 
 struct FleetWorker {
@@ -141,6 +149,8 @@
   // Numbers of runs of filling and of serving tasks.
   int filling_runs_ = 0;
   int serving_runs_ = 0;
+  // Runs that take an unknown amount of the capacity.
+  int unknown_demand_runs_ = 0;
 
   // Returns the expiry of a lease of `lease_ms` from now, on the worker's
   // clock, and extends LatestLeaseExpiryMs to cover it.
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -113,6 +113,11 @@
   return record_.first_due_ms_ + next_occurrence_ * record_.interval_ms_;
 }
 
+auto Job::IsUpcoming(std::int64_t occurrence) const -> bool {
+  return !IsEnded() && occurrence >= next_occurrence_ &&
+         occurrence < std::max<std::int64_t>(record_.repeat_count_, 1);
+}
+
 auto Job::CreateDueOccurrences(Millis wall_ms, Millis now_ms)
     -> std::vector<StepRun*> {
   std::vector<StepRun*> ready;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -141,6 +141,9 @@
   // there is none.
   auto NextDueMs() const -> Millis;
 
+  // Returns true if CreateDueOccurrences will create the occurrence later.
+  auto IsUpcoming(std::int64_t occurrence) const -> bool;
+
   // Returns the step, or nullptr if the job has no such step or this object has
   // not created the occurrence.
   auto FindStep(std::int64_t occurrence, int step) -> StepRun*;
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -269,6 +269,7 @@
   // Lets the owner's watch deliver the jobs.
   auto Deliver(const std::vector<std::string>& jobs) -> void {
     std::vector<std::string> keys;
+    keys.reserve(jobs.size());
     for (const auto& job : jobs) {
       keys.push_back(JobKey(job));
     }
@@ -331,4 +332,130 @@
   BOOST_TEST((test.store_.Progress("a1").state_ == JobState::kCompleted));
 }
 
+// Guards against a task that runs twice: a run that is listed before its job is
+// known is stopped, and started elsewhere while the stop is under way.
+BOOST_AUTO_TEST_CASE(run_of_a_job_not_known_yet_goes_on) {
+  TakeOver test;
+  test.Begin();
+  test.Accept("a1", "q");
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1");
+  test.Answer("t-0");
+  test.AwaitPass();
+  test.Deliver({"a1"});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  BOOST_TEST(test.workers_.stops_.empty());
+  BOOST_TEST((test.dispatcher_->GetJobState("a1") == JobState::kRunning));
+}
+
+// Guards against a task that runs again after its end: an end that is listed
+// before its job is known is acknowledged and forgotten.
+BOOST_AUTO_TEST_CASE(end_of_a_job_not_known_yet_is_recorded_first) {
+  for (const auto how : {RunEnd::kDone, RunEnd::kFailed}) {
+    TakeOver test;
+    test.Begin();
+    const std::vector<EndedRun> ended = {{1, kRun, how, ""}};
+    const auto is_recorded = [&] {
+      const auto progress = test.store_.Progress("a1");
+      return how == RunEnd::kDone ? progress.state_ == JobState::kCompleted
+                                  : progress.failures_.size() == 1;
+    };
+    test.on_hold_ = [&] {
+      BOOST_TEST((test.acknowledged_["s-0"] == 0 || is_recorded()));
+    };
+    test.Accept("a1", "q");
+    test.Answer("s-0", {}, ended);
+    test.Answer("s-1");
+    test.Answer("t-0");
+    test.AwaitPass();
+    test.Deliver({"a1"});
+    test.AwaitPass();
+    BOOST_TEST(test.StartsOnS() == (how == RunEnd::kDone ? 0 : 1));
+    test.Await([&] {
+      if (test.workers_.IsHeld("s-0")) {
+        test.Answer("s-0", {}, ended);
+      }
+      return test.acknowledged_["s-0"] == 1;
+    });
+    BOOST_TEST(is_recorded());
+  }
+}
+
+// Guards against a worker that is hurt, or a run that is stopped, because the
+// store cannot say whether their job exists; and against runs and ends of a job
+// that was removed and are kept for good.
+BOOST_AUTO_TEST_CASE(run_of_a_removed_job_is_stopped_once_the_store_says_so) {
+  TakeOver test;
+  test.Begin();
+  test.store_.is_down_ = true;
+  const std::vector<EndedRun> ended = {{1, {"b2.0.0.0", 3}, RunEnd::kDone, ""}};
+  const auto reads = test.store_.reads_;
+  auto holds = 0;
+  test.Await([&] {
+    if (test.workers_.IsHeld("s-0")) {
+      ++holds;
+      test.Answer("s-0", {kRun}, ended);
+    }
+    return holds >= 5 && test.store_.reads_ >= reads + 4;
+  });
+  BOOST_TEST(test.workers_.stops_.empty());
+  BOOST_TEST(test.acknowledged_["s-0"] == 0);
+  test.store_.is_down_ = false;
+  test.Await([&] {
+    if (test.workers_.IsHeld("s-0")) {
+      test.Answer("s-0", {kRun}, ended);
+    }
+    return test.acknowledged_["s-0"] == 1 && !test.workers_.stops_.empty();
+  });
+  BOOST_TEST(test.workers_.stops_.front() == kRun.task_);
+}
+
+// Guards against an overfilled worker: what a run takes is not known before its
+// job is.
+BOOST_AUTO_TEST_CASE(worker_with_a_run_of_unknown_size_gets_no_starts) {
+  TakeOver test;
+  test.Begin();
+  test.store_.is_down_ = true;
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1", {{"b2.0.0.0", 3}});
+  test.Answer("t-0");
+  test.Accept("a1", "q");
+  test.Accept("b2", "q");
+  test.Accept("c3", "q");
+  test.Deliver({"c3"});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  test.store_.is_down_ = false;
+  test.Await([&] {
+    return test.dispatcher_->GetJobState("a1") == JobState::kRunning &&
+           test.dispatcher_->GetJobState("b2") == JobState::kRunning;
+  });
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  test.Answer("s-0", {}, {{1, kRun, RunEnd::kDone, ""}});
+  test.Await([&] { return test.Started("c3.0.0.0 on s-0") == 1; });
+  BOOST_TEST(test.workers_.stops_.empty());
+}
+
+// Guards against a task that runs twice: an occurrence that was due by the
+// previous owner's clock is not due yet by the new owner's.
+BOOST_AUTO_TEST_CASE(run_of_an_occurrence_not_due_yet_goes_on) {
+  TakeOver test;
+  const auto due_ms = WallMs() + 300;
+  test.Accept("a1", "q", due_ms);
+  test.Accept("b2", "q", due_ms);
+  test.Accept("c3", "r", due_ms);
+  test.Begin();
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1", {}, {{1, {"b2.0.0.0", 3}, RunEnd::kDone, ""}});
+  test.Answer("t-0");
+  test.Await([&] { return test.Started("c3.0.0.0 on t-0") == 1; });
+  BOOST_TEST(test.StartsOnS() == 0);
+  BOOST_TEST(test.workers_.stops_.empty());
+  test.Await([&] {
+    return test.store_.Progress("b2").state_ == JobState::kCompleted;
+  });
+}
+
 }  // namespace lentilscale::fleet
