Keep the current run's number when a higher run of the task ends

What callers see: a task is never run again though nothing of it runs (LOST); a task that lasts is not restarted.

Cause: the end of any run raised the number of the task's current run. If two owners started the task, the new owner adopts the run that is listed first. When the other run has the higher number and ends, the placed task takes that number, so that the end or loss of its actual run no longer counts as the current one's and the task stays placed for good.

Change: the highest known run and the current run of a task are kept apart.

--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -260,7 +260,7 @@
 }
 
 auto Dispatcher::NextRunNumber(const Task& task) const -> std::int64_t {
-  return std::max(task.run_, (claim_.epoch_ - 1) * kRunsPerEpoch) + 1;
+  return std::max(task.highest_run_, (claim_.epoch_ - 1) * kRunsPerEpoch) + 1;
 }
 
 auto Dispatcher::PlaceStep(StepRun& step, const Queue& queue, Millis now_ms)
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -201,7 +201,7 @@
   const auto* policy = FindQueuePolicy(job.record().queue_);
   const auto is_current =
       task.phase_ == Task::Phase::kPlaced && task.run_ == end.run_.run_;
-  task.run_ = std::max(task.run_, end.run_.run_);
+  task.highest_run_ = std::max(task.highest_run_, end.run_.run_);
   if (task.phase_ == Task::Phase::kDone) {
     return;
   }
@@ -333,7 +333,8 @@
   ++step->runs_per_worker_[worker.entry_.id_];
   const auto is_adopted = !job->IsEnded() &&
                           task->phase_ == Task::Phase::kWaiting &&
-                          ref.run_ >= task->run_;
+                          ref.run_ >= task->highest_run_;
+  task->highest_run_ = std::max(task->highest_run_, ref.run_);
   if (is_adopted) {
     job->MarkPlaced(*step, id->index_, ref.run_, worker.entry_.id_);
     if (!running.checkpoint_.empty()) {
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -311,6 +311,7 @@
   }
   task.phase_ = Task::Phase::kPlaced;
   task.run_ = run;
+  task.highest_run_ = std::max(task.highest_run_, run);
   task.worker_ = worker;
 }
 
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -44,9 +44,12 @@
 struct Task {
   enum class Phase { kWaiting, kPlaced, kDone };
   Phase phase_ = Phase::kWaiting;
-  // Number of the current run while the task is placed, else of the latest
-  // known run.
+  // Number of the current run while the task is placed, else of the previous
+  // one.
   std::int64_t run_ = 0;
+  // Highest number of any known run, also of one that another owner started.
+  // The next run gets a higher number.
+  std::int64_t highest_run_ = 0;
   // The worker of the current run, while the task is placed.
   std::string worker_;
   // Latest checkpoint; empty if there is none.
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -458,4 +458,24 @@
   });
 }
 
+// Guards against a task that never runs again: two owners started it, and the
+// end of the run with the higher number is listed while the other run is the
+// current one.
+BOOST_AUTO_TEST_CASE(task_is_placed_again_after_the_lower_of_two_runs) {
+  const RunRef higher{kRun.task_, kRun.run_ + 1};
+  for (const auto how : {RunEnd::kStopped, RunEnd::kFailed}) {
+    TakeOver test;
+    test.Accept("a1", "q");
+    test.Begin();
+    test.Answer("t-0");
+    test.Answer("s-0", {kRun});
+    test.Answer("s-1", {higher});
+    test.Answer("s-1", {}, {{1, higher, how, ""}});
+    test.Await([&] { return test.acknowledged_["s-1"] == 1; });
+    test.Answer("s-0", {}, {{1, kRun, RunEnd::kLapsed, ""}});
+    test.AwaitPass();
+    BOOST_TEST(test.StartsOnS() == 1);
+  }
+}
+
 }  // namespace lentilscale::fleet
