--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -30,9 +30,51 @@
 constexpr Millis kWatchWaitMs = 2000;
 // Limit on concurrent reads of unmatched jobs.
 constexpr int kMaxUnmatchedReads = 8;
+// Allowance for the previous owner's grants that crossed the claim.
+constexpr Millis kTakeOverMarginMs = 500;
 
 }  // namespace
 
+// The previous owner may have granted leases until the claim.
+auto Dispatcher::DefaultLeaseExpiryMs() const -> Millis {
+  return claim_.claimed_ms_ +
+         static_cast<Millis>(static_cast<double>(options_.lease_ms_) /
+                             kMinWorkerClockRate) +
+         kTakeOverMarginMs;
+}
+
+auto Dispatcher::LeaseExpiries() const -> std::map<std::string, Millis> {
+  std::map<std::string, Millis> expiries;
+  if (!is_state_read_) {
+    return expiries;
+  }
+  for (const auto& [id, worker] : unclaimed_workers_) {
+    expiries[id] = worker.lease_expiry_ms_;
+  }
+  for (const auto& [id, worker] : workers_) {
+    // Before the first grant, the worker may hold a lease of an earlier owner.
+    if (worker.is_claimed_ && worker.latest_lease_expiry_ms_ != 0) {
+      expiries[id] = worker.latest_lease_expiry_ms_;
+    }
+  }
+  return expiries;
+}
+
+auto Dispatcher::ApplyLeaseExpiries(
+    const std::map<std::string, Millis>& expiries) -> void {
+  if (!is_state_read_) {
+    early_lease_expiries_ = expiries;
+    return;
+  }
+  for (const auto& [id, expiry_ms] : expiries) {
+    if (const auto it = unclaimed_workers_.find(id);
+        it != unclaimed_workers_.end()) {
+      it->second.lease_expiry_ms_ =
+          std::min(it->second.lease_expiry_ms_, expiry_ms);
+    }
+  }
+}
+
 auto Dispatcher::ScheduleReadRetry() -> void {
   RunAfter(loop_, kReadRetryMs, [this, alive = is_alive_] {
     if (*alive) {
@@ -74,6 +116,15 @@
   if (!is_read(reads.inbox_) || !is_read(reads.progress_) ||
       !is_read(reads.previous_workers_) || !is_read(reads.worker_entries_) ||
       hooks_.config_() == nullptr) {
+    LogEvent(
+        Event::kFleetStateNotRead,
+        {{"epoch", std::to_string(claim_.epoch_)},
+         {"inbox", StoreStatusName(reads.inbox_.status_)},
+         {"progress", StoreStatusName(reads.progress_.status_)},
+         {"workers_record", StoreStatusName(reads.previous_workers_.status_)},
+         {"worker_entries", StoreStatusName(reads.worker_entries_.status_)},
+         {"has_configuration",
+          hooks_.config_() == nullptr ? "false" : "true"}});
     ScheduleReadRetry();
     return;
   }
@@ -91,6 +142,7 @@
         const auto& entry = body["workers"][id];
         auto& worker = unclaimed_workers_[id];
         worker.service_ = entry["service"].asString();
+        worker.lease_expiry_ms_ = DefaultLeaseExpiryMs();
         worker.is_draining_ = entry["tasks"].isArray();
         for (const auto& task : entry["tasks"]) {
           worker.tasks_.insert(task.asString());
@@ -102,6 +154,7 @@
     }
   }
   RecoverJobs();
+  ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
   OnWorkersRead(reads.worker_entries_);
 }
 
