Place jobs at once that the previous owner cannot know

What callers saw: after a take-over with silent workers, urgent jobs that came seconds later waited up to 5.6 s for their leases too. Cause: the wait did not end with the previous owner's rights. An owner that does not know of the claim loses its rights within 2 s (its lease, its hand-over's time-out, its peers' reports), at once if it has reported its lease expiries. It starts no task of a job that was accepted later. Change: after that time the new owner reads the store's revision once; a job whose record has a higher one is placed without waiting. Notices of new jobs between instances carry the revision. Evidence: fleet_takeover_test job_after_the_previous_rights_is_placed_at_once; without the comparison of revisions b2 is not started.

--- a/fleet/client_api.cc
+++ b/fleet/client_api.cc
@@ -171,7 +171,7 @@
                 {"revision", std::to_string(result.revision_)},
                 {"took_ms", std::to_string(took_ms)}});
       reply->Send(200, "{}");
-      owner_.notify_job_(job);
+      owner_.notify_job_(job, result.revision_);
       return;
     }
     if (result.status_ == StoreStatus::kConflict) {
--- a/fleet/client_api.h
+++ b/fleet/client_api.h
@@ -41,7 +41,8 @@
 // Calls to the owner of the fleet, which is this process or a peer. Queries
 // call back with nullopt if the owner does not know or does not answer.
 struct OwnerClient {
-  std::function<void(const JobRecord&)> notify_job_;
+  // `revision` is that of the job's record in the store.
+  std::function<void(const JobRecord&, std::int64_t revision)> notify_job_;
   std::function<void(const std::string& id)> notify_cancel_;
   std::function<void(const std::string& id,
                      std::function<void(std::optional<JobState>)>)>
--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -30,6 +30,9 @@
 constexpr Millis kPurgeBatchPauseMs = 100;
 // Jobs in a batch; three keys for each stay within the limit of a transaction.
 constexpr std::size_t kPurgeBatchSize = 10;
+// A previous owner that does not know of the claim loses its rights within this
+// time: its lease ends, its hand-over times out, or its peers' reports expire.
+constexpr Millis kPreviousRightsMs = 2000;
 
 }  // namespace
 
@@ -45,6 +48,7 @@
       claim_(claim),
       options_(options),
       hooks_(std::move(hooks)),
+      previous_rights_end_ms_(claim.claimed_ms_ + kPreviousRightsMs),
       recorder_(
           loop, store, claim.owner_revision_,
           {[this](const std::string& key) { return SerializeRecord(key); },
@@ -67,15 +71,22 @@
   return count;
 }
 
-auto Dispatcher::AddJob(const JobRecord& record) -> void {
+auto Dispatcher::AddJob(const JobRecord& record, std::int64_t revision)
+    -> void {
   // Until the state is read the job's progress is unknown; the watch of the
   // inbox delivers the job afterwards.
   if (is_state_read_) {
-    InsertJob(record, false);
+    InsertJob(record, revision, false);
   }
 }
 
-auto Dispatcher::InsertJob(const JobRecord& record, bool is_recovered) -> void {
+auto Dispatcher::MayBeRunning(std::int64_t revision) const -> bool {
+  return !unclaimed_workers_.empty() && (!rights_end_revision_.has_value() ||
+                                         revision <= *rights_end_revision_);
+}
+
+auto Dispatcher::InsertJob(const JobRecord& record, std::int64_t job_revision,
+                           bool is_recovered) -> void {
   if (jobs_.contains(record.id_)) {
     return;
   }
@@ -93,7 +104,7 @@
     revision = it->second.revision_;
   }
   auto job = std::make_unique<Job>(record, progress,
-                                   is_recovered || !unclaimed_workers_.empty());
+                                   is_recovered || MayBeRunning(job_revision));
   recorder_.SetRevision(ProgressKey(record.id_), revision);
   if (job->IsEnded()) {
     job->is_end_recorded_ = true;
@@ -353,6 +364,7 @@
   CreateDueOccurrences();
   CheckWorkers(now);
   CheckUnmatchedJobs(now);
+  ReadRightsEndRevision(now);
   if (now >= next_worker_read_ms_ && !is_reading_workers_) {
     ReadWorkers();
   }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -91,7 +91,8 @@
   auto operator=(const Dispatcher&) -> Dispatcher& = delete;
 
   // Adds a job that the store holds; a job that is known already is ignored.
-  auto AddJob(const JobRecord& record) -> void;
+  // `revision` is that of the job's record in the store, 0 if it is not known.
+  auto AddJob(const JobRecord& record, std::int64_t revision) -> void;
   // Applies a cancellation that the store holds.
   auto CancelJob(const std::string& id) -> void;
 
@@ -157,6 +158,9 @@
   // Returns when the leases of an unclaimed worker have expired if the previous
   // owner has said nothing about it.
   auto DefaultLeaseExpiryMs() const -> Millis;
+  // Once the previous owner has lost its rights, reads the store's revision:
+  // jobs with a higher one are unknown to that owner.
+  auto ReadRightsEndRevision(Millis now_ms) -> void;
   auto ReadRecoveryState() -> void;
   auto OnRecoveryReads(const RecoveryReads& reads) -> void;
   auto ScheduleReadRetry() -> void;
@@ -177,7 +181,11 @@
   auto MatchReports(const std::string& job_id, bool is_absent) -> void;
 
   // dispatcher.cc
-  auto InsertJob(const JobRecord& record, bool is_recovered) -> void;
+  auto InsertJob(const JobRecord& record, std::int64_t revision,
+                 bool is_recovered) -> void;
+  // Returns true if the previous owner may have started tasks of a job whose
+  // record has `revision` on a worker that has not answered yet.
+  auto MayBeRunning(std::int64_t revision) const -> bool;
   auto Tick() -> void;
   auto CreateDueOccurrences() -> void;
   auto OnJobEnded(Job& job) -> void;
@@ -377,6 +385,11 @@
   std::map<std::string, FleetWorker> workers_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
+  // When the previous owner has lost its rights (BootMs).
+  Millis previous_rights_end_ms_;
+  // A revision of the store at or after that time, once it has been read.
+  std::optional<std::int64_t> rights_end_revision_;
+  bool is_reading_rights_end_ = false;
   // Lease expiries from the previous owner that arrived before its record of
   // workers was read.
   std::map<std::string, Millis> early_lease_expiries_;
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -62,6 +62,8 @@
 
 auto Dispatcher::ApplyLeaseExpiries(
     const std::map<std::string, Millis>& expiries) -> void {
+  // The sender has given up its rights.
+  previous_rights_end_ms_ = std::min(previous_rights_end_ms_, BootMs());
   if (!is_state_read_) {
     early_lease_expiries_ = expiries;
     return;
@@ -154,7 +156,9 @@
     }
   }
   RecoverJobs();
-  ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
+  if (!early_lease_expiries_.empty()) {
+    ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
+  }
   OnWorkersRead(reads.worker_entries_);
 }
 
@@ -183,6 +187,23 @@
   WatchInbox();
 }
 
+auto Dispatcher::ReadRightsEndRevision(Millis now_ms) -> void {
+  if (unclaimed_workers_.empty() || rights_end_revision_.has_value() ||
+      is_reading_rights_end_ || now_ms < previous_rights_end_ms_) {
+    return;
+  }
+  is_reading_rights_end_ = true;
+  store_->Read(kOwnerKey, [this, alive = is_alive_](const ReadResult& result) {
+    if (!*alive) {
+      return;
+    }
+    is_reading_rights_end_ = false;
+    if (result.status_ == StoreStatus::kOk) {
+      rights_end_revision_ = result.revision_;
+    }
+  });
+}
+
 auto Dispatcher::WatchInbox() -> void {
   store_->Watch(
       kInboxPrefix, inbox_revision_, kWatchWaitMs,
@@ -230,7 +251,7 @@
              {{"key", record.key_}, {"problem", job.status().ToString()}});
     return;
   }
-  InsertJob(*job, is_recovered);
+  InsertJob(*job, record.revision_, is_recovered);
 }
 
 auto Dispatcher::IsUnmatched(const TaskId& id) -> bool {
--- a/fleet/dispatcher_stalls.cc
+++ b/fleet/dispatcher_stalls.cc
@@ -94,7 +94,7 @@
   }
   const auto& record = step.job_->record();
   for (auto i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue->service_, step.TaskIdAt(i).ToString())) {
       return WaitReason::kMayBeRunning;
     }
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -167,11 +167,12 @@
 }
 
 auto FleetNode::MakeOwnerClient() -> OwnerClient {
-  return {[this](const JobRecord& job) {
+  return {[this](const JobRecord& job, std::int64_t revision) {
             if (dispatcher_ != nullptr) {
-              dispatcher_->AddJob(job);
+              dispatcher_->AddJob(job, revision);
             } else if (!election_->owner().address_.empty()) {
-              peer_client_.NotifyJob(election_->owner().address_, job);
+              peer_client_.NotifyJob(election_->owner().address_, job,
+                                     revision);
             }
           },
           [this](const std::string& id) {
@@ -385,7 +386,7 @@
         throw Error(ErrorCode::kBadRequest,
                     std::string(job.status().message()));
       }
-      dispatcher_->AddJob(*job);
+      dispatcher_->AddJob(*job, GetInt(body, "revision", 0, 0, INT64_MAX));
     } else if (request.path_ == "/peer/cancel") {
       dispatcher_->CancelJob(RequireString(body, "id"));
     } else if (request.path_ == "/peer/state") {
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -98,10 +98,11 @@
        });
 }
 
-auto PeerClient::NotifyJob(const std::string& address, const JobRecord& job)
-    -> void {
+auto PeerClient::NotifyJob(const std::string& address, const JobRecord& job,
+                           std::int64_t revision) -> void {
   Json::Value body(Json::objectValue);
   body["job"] = EncodeJob(job);
+  body["revision"] = Json::Int64{revision};
   // If the message is lost, the owner finds the job in the store.
   Send(address, "/peer/job", body, kPeerTimeoutMs,
        [](const HttpResult& /*http*/) {});
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -72,7 +72,8 @@
                          std::function<void(bool)> callback) -> void;
   // Announce an accepted job or cancellation to the owner, without
   // confirmation.
-  auto NotifyJob(const std::string& address, const JobRecord& job) -> void;
+  auto NotifyJob(const std::string& address, const JobRecord& job,
+                 std::int64_t revision) -> void;
   auto NotifyCancel(const std::string& address, const std::string& id) -> void;
   // Passes std::nullopt to `callback` if the peer does not know the job or does
   // not answer.
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -205,6 +205,7 @@
     for (const auto* worker : {"s-0", "s-1", "t-0"}) {
       store_.Put(std::string("w/") + worker, "");
     }
+    store_.Put(kOwnerKey, "");
     store_.Put(kWorkersKey,
                R"({"workers":{"s-0":{"service":"s"},"s-1":{"service":"s"},)"
                R"("t-0":{"service":"t"}}})");
@@ -332,6 +333,26 @@
   BOOST_TEST((test.store_.Progress("a1").state_ == JobState::kCompleted));
 }
 
+// Guards against new jobs that wait for a silent worker although the previous
+// owner cannot know them: it had given up its rights before they were accepted.
+BOOST_AUTO_TEST_CASE(job_after_the_previous_rights_is_placed_at_once) {
+  TakeOver test;
+  test.Begin();
+  test.Answer("s-1");
+  test.Answer("t-0");
+  test.Accept("a1", "q");
+  const auto reads = test.store_.reads_;
+  test.dispatcher_->ApplyLeaseExpiries({});
+  test.Await([&] { return test.store_.reads_ > reads; });
+  test.Accept("b2", "q");
+  test.Deliver({"a1"});
+  test.AwaitPass();
+  test.Deliver({"b2"});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 1);
+  BOOST_TEST(test.Started("b2.0.0.0 on s-1") == 1);
+}
+
 // Guards against a task that runs twice: a run that is listed before its job is
 // known is stopped, and started elsewhere while the stop is under way.
 BOOST_AUTO_TEST_CASE(run_of_a_job_not_known_yet_goes_on) {
