Ask the previous owner to resign, and place new jobs once it has

Cause: most previous owners have lost their rights by then: their process has ended, or they would give up if they knew of the claim. The new owner did not ask. Change: a new owner calls /peer/resign at the previous one, which steps down. An answer, or a refused connection, shows that it has no rights; without either the 2 s apply. An instance that is elected again uses the lease expiries of its own last term.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -115,6 +115,10 @@
   auto ApplyLeaseExpiries(const std::map<std::string, Millis>& expiries)
       -> void;
 
+  // Tells the dispatcher that the previous owner has lost its rights, so that
+  // it starts no more tasks.
+  auto OnPreviousRightsEnded() -> void;
+
   auto token() const -> std::int64_t { return claim_.epoch_; }
   auto worker_count() const -> std::size_t { return workers_.size(); }
   auto running_count() const -> std::size_t;
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -43,6 +43,10 @@
          kTakeOverMarginMs;
 }
 
+auto Dispatcher::OnPreviousRightsEnded() -> void {
+  previous_rights_end_ms_ = std::min(previous_rights_end_ms_, BootMs());
+}
+
 auto Dispatcher::LeaseExpiries() const -> std::map<std::string, Millis> {
   std::map<std::string, Millis> expiries;
   if (!is_state_read_) {
@@ -62,8 +66,7 @@
 
 auto Dispatcher::ApplyLeaseExpiries(
     const std::map<std::string, Millis>& expiries) -> void {
-  // The sender has given up its rights.
-  previous_rights_end_ms_ = std::min(previous_rights_end_ms_, BootMs());
+  OnPreviousRightsEnded();
   if (!is_state_read_) {
     early_lease_expiries_ = expiries;
     return;
--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -179,6 +179,9 @@
       LogEvent(Event::kBadRecord, {{"key", kOwnerKey}, {"problem", e.what()}});
     }
   }
+  if (!owner.address_.empty() && owner.epoch_ != last_owners_.back().epoch_) {
+    last_owners_ = {last_owners_.back(), owner};
+  }
   const auto is_changed = owner.revision_ != owner_.revision_;
   owner_ = owner;
   if (is_changed) {
@@ -329,6 +332,9 @@
     lease_confirmed_ms_ = lease_sent_ms;
     had_rights_ = true;
     claim_ = {epoch, result.revision_, BootMs()};
+    // The watch may have shown this claim already.
+    previous_owner_ = last_owners_.back().epoch_ == epoch ? last_owners_.front()
+                                                          : last_owners_.back();
     owner_ = {options_.instance_, options_.address_, epoch, result.revision_,
               lease};
     LogEvent(Event::kFleetElected,
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -16,6 +16,7 @@
 
 #include <uv.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -62,6 +63,9 @@
 
   // Returns the owner as last read; address_ is empty if there is none.
   auto owner() const -> const Owner& { return owner_; }
+  // Returns the last owner that this instance knew of before its latest claim;
+  // its epoch is 0 if there was none.
+  auto previous_owner() const -> const Owner& { return previous_owner_; }
   auto IsOwner() const -> bool { return claim_.epoch_ != 0; }
   // Returns true while this instance may give orders.
   auto HasRights() -> bool;
@@ -114,6 +118,9 @@
   Options options_;
   Hooks hooks_;
   Owner owner_;
+  // The last two owners that this instance read of, the latest at the back.
+  std::array<Owner, 2> last_owners_;
+  Owner previous_owner_;
   std::int64_t watch_revision_ = 0;
   OwnerClaim claim_;
   std::int64_t lease_ = 0;
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
@@ -219,6 +220,32 @@
       loop_, dependencies_.store_, dependencies_.worker_gateway_,
       &advice_balancer_, &metrics_, claim, options_.dispatcher_,
       std::move(hooks));
+  RequestResignation(claim.epoch_);
+}
+
+// The previous owner may not have learned of the claim, and its process may
+// have ended without giving up its rights.
+auto FleetNode::RequestResignation(std::int64_t epoch) -> void {
+  const auto& previous = election_->previous_owner();
+  if (previous.epoch_ + 1 != epoch) {
+    return;
+  }
+  if (previous.address_ == options_.peer_address_) {
+    // The previous owner was this process, or an earlier one at this address.
+    dispatcher_->OnPreviousRightsEnded();
+    if (ended_term_.epoch_ + 1 == epoch) {
+      dispatcher_->ApplyLeaseExpiries(
+          std::exchange(ended_term_, EndedTerm{}).expiries_);
+    }
+    return;
+  }
+  peer_client_.RequestResignation(
+      previous.address_, epoch, [this, epoch](bool has_no_rights) {
+        if (has_no_rights && dispatcher_ != nullptr &&
+            dispatcher_->token() == epoch) {
+          dispatcher_->OnPreviousRightsEnded();
+        }
+      });
 }
 
 auto FleetNode::OnDeposed() -> void {
@@ -366,6 +393,14 @@
       reply->Send(200, "{}");
       return;
     }
+    if (request.path_ == "/peer/resign") {
+      if (dispatcher_ != nullptr &&
+          dispatcher_->token() < RequireInt(body, "epoch", 0, INT64_MAX)) {
+        election_->StepDown("a later epoch has been claimed");
+      }
+      reply->Send(200, "{}");
+      return;
+    }
     if (dispatcher_ == nullptr) {
       reply->Send(409, "{}");
       return;
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -86,6 +86,9 @@
   auto MetricsText() -> std::string;
   auto MakeOwnerClient() -> OwnerClient;
   auto OnElected(const OwnerClaim& claim) -> void;
+  // Makes sure that the previous owner starts nothing more, and lets the
+  // dispatcher know if that is certain.
+  auto RequestResignation(std::int64_t epoch) -> void;
   auto OnDeposed() -> void;
   auto OnOwnerChanged() -> void;
   // Tells the next owner until when the leases that this instance granted are
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -32,6 +32,12 @@
   }
 }
 
+// Returns true if the connection was refused, so that no process listens.
+auto IsRefused(const HttpResult& http) -> bool {
+  return http.outcome_ == HttpOutcome::kNotSent &&
+         BootMs() - http.sent_ms_ < kMaxRefusalDelayMs;
+}
+
 }  // namespace
 
 auto JobStateFromName(const std::string& name) -> std::optional<JobState> {
@@ -75,13 +81,27 @@
          const auto answer = ParseAnswer(http);
          if (answer["store_age_ms"].isInt64()) {
            on_answer(answer["store_age_ms"].asInt64());
-         } else if (http.outcome_ == HttpOutcome::kNotSent &&
-                    BootMs() - http.sent_ms_ < kMaxRefusalDelayMs) {
+         } else if (IsRefused(http)) {
            on_refused();
          }
        });
 }
 
+auto PeerClient::RequestResignation(const std::string& address,
+                                    std::int64_t epoch,
+                                    std::function<void(bool)> callback)
+    -> void {
+  Json::Value body(Json::objectValue);
+  body["epoch"] = Json::Int64{epoch};
+  Send(address, "/peer/resign", body, kPeerTimeoutMs,
+       [callback = std::move(callback)](const HttpResult& http) {
+         // An owner of a version without this call answers 404. Other statuses
+         // come from an instance that is not the owner or is shutting down.
+         callback(IsRefused(http) || (http.outcome_ == HttpOutcome::kAnswered &&
+                                      http.status_ != 404));
+       });
+}
+
 auto PeerClient::SendLeaseExpiries(const std::string& address,
                                    const LeaseExpiryReport& report,
                                    std::function<void(bool)> callback) -> void {
--- a/fleet/peer_client.h
+++ b/fleet/peer_client.h
@@ -70,6 +70,11 @@
   auto SendLeaseExpiries(const std::string& address,
                          const LeaseExpiryReport& report,
                          std::function<void(bool)> callback) -> void;
+  // Tells the previous owner at `address` that `epoch` has been claimed.
+  // `callback` receives true if it has no rights any more: it gave them up, or
+  // no process listens on the address.
+  auto RequestResignation(const std::string& address, std::int64_t epoch,
+                          std::function<void(bool)> callback) -> void;
   // Announce an accepted job or cancellation to the owner, without
   // confirmation.
   auto NotifyJob(const std::string& address, const JobRecord& job,
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -631,6 +631,38 @@
   fleet.CheckPromises();
 }
 
+// Guards against new jobs that wait for the leases of a killed owner, which
+// cannot know of them.
+BOOST_AUTO_TEST_CASE(a_new_job_does_not_wait_for_the_leases_of_a_killed_owner) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  const auto owner = fleet.OwnerNode();
+  BOOST_REQUIRE_EQUAL(fleet.Submit(owner, kJob, "ms=0",
+                                   {{1, 1000, 0, R"(,"long_running":true)"}}),
+                      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  for (const auto* id : {"i-0", "i-1"}) {
+    auto& worker = fleet.platform().worker(id);
+    worker.SetCut(worker.running_count() > 0);
+  }
+  fleet.KillNode(owner);
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return !fleet.platform().store().Get("ls/owner").empty() &&
+           fleet.OwnerNode() != owner;
+  }));
+  // The new owner learns meanwhile that the old one's process has ended.
+  fleet.RunFor(500);
+  constexpr auto kNewJob = "00000000000000a2";
+  BOOST_TEST(fleet.Submit(1 - owner, kNewJob, "ms=20", {{1}}) == 200);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kNewJob) == 1; }));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 1);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 // Guards against a lasting task that stays down because each new owner waits
 // anew for a lease that the previous owner knows to expire earlier.
 BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
