--- a/testing/walk_model_stand_in.cc
+++ b/testing/walk_model_stand_in.cc
@@ -327,8 +327,10 @@
       target.deadline_ms_ =
           std::max(target.deadline_ms_, order.worker_lease_end_ms_);
       if (order.acknowledged_end_ >= target.next_end_) {
-        world_->Violate(fmt::format("{} is told to forget end {} before it", id,
-                                    order.acknowledged_end_));
+        world_->Violate(
+            fmt::format("{} is told to forget end {} before it, token {}{}", id,
+                        order.acknowledged_end_, order.fencing_token_,
+                        world_->FleetStory()));
       }
       while (!target.ended_.empty() &&
              target.ended_.front().number_ <= order.acknowledged_end_) {
--- a/testing/walk_stand_in.h
+++ b/testing/walk_stand_in.h
@@ -171,6 +171,8 @@
   auto Violate(const std::string& text) -> void;
   // Notes what happened to a task, for a violation's message.
   auto Tell(const std::string& task, const std::string& text) -> void;
+  // Returns what happened to the fleet, for a violation's message.
+  auto FleetStory() const -> std::string;
   auto OnStart(ModelWorker& worker, const RunRef& ref, std::int64_t token)
       -> void;
   auto OnEnd(ModelWorker& worker, const EndedRun& end) -> void;
@@ -221,6 +223,7 @@
   std::vector<std::string> violations_;
   bool is_finished_ = false;
   Millis next_fault_ms_ = 0;
+  Millis last_tick_ms_ = MonotonicMs();
   std::unique_ptr<RepeatingTimer> tick_;
 };
 
--- a/testing/walk_world_stand_in.cc
+++ b/testing/walk_world_stand_in.cc
@@ -19,6 +19,8 @@
 constexpr int kMaxAttempts = 40;
 constexpr Millis kLeaseMs = 400;
 constexpr Millis kTickMs = 5;
+// A pause between two ticks that is worth telling.
+constexpr Millis kLateMs = 100;
 // Time with faults, and the time after it in which all must end.
 constexpr Millis kFaultsMs = 4000;
 constexpr Millis kPatienceMs = 25000;
@@ -114,6 +116,11 @@
   violations_.push_back(fmt::format("seed {}: {}", seed_, text));
 }
 
+auto World::FleetStory() const -> std::string {
+  const auto it = histories_.find("");
+  return it == histories_.end() ? "" : "\n  the fleet:" + it->second.story_;
+}
+
 auto World::Tell(const std::string& task, const std::string& text) -> void {
   histories_[task].story_ +=
       fmt::format("\n    {} ms: {}", MonotonicMs() - began_ms_, text);
@@ -135,9 +142,8 @@
   auto& history = histories_[ref.task_];
   for (const auto& [other_id, other] : workers_) {
     if (other.running_.contains(ref.task_)) {
-      Violate(fmt::format("{} runs on {} and {}{}\n  the fleet:{}", ref.task_,
-                          other_id, worker.id_, history.story_,
-                          histories_[""].story_));
+      Violate(fmt::format("{} runs on {} and {}{}{}", ref.task_, other_id,
+                          worker.id_, history.story_, FleetStory()));
     }
   }
   if (history.is_done_acknowledged_) {
@@ -229,6 +235,7 @@
   worker.born_ms_ = ++last_born_ms_;
   worker.life_began_ms_ = MonotonicMs() - 1000;
   store_.Put(kWorkerPrefix + id, std::to_string(worker.born_ms_));
+  Tell("", fmt::format("{} begins life {}", id, worker.born_ms_));
 }
 
 auto World::TakeOver() -> void {
@@ -307,6 +314,7 @@
       if (!worker.is_down_) {
         worker.is_down_ = true;
         worker.running_.clear();
+        Tell("", fmt::format("{} crashes", worker.id_));
         Later(Between(kMinDownMs, kMaxDownMs),
               [this, &worker] { BeginLife(worker); });
       }
@@ -375,6 +383,11 @@
 
 auto World::Tick() -> void {
   const auto now = MonotonicMs();
+  if (now - last_tick_ms_ > kLateMs) {
+    Tell("",
+         fmt::format("the loop stood still for {} ms", now - last_tick_ms_));
+  }
+  last_tick_ms_ = now;
   for (auto& [id, worker] : workers_) {
     TickWorker(worker, now);
   }
