--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -251,9 +251,10 @@
     Await([&] { return workers_.IsHeld(worker); });
     workers_.Answer(worker, running, ended);
   }
-  // Stores a job with one task; nobody is told.
+  // Stores a job whose tasks together fill a worker, on which at most one of
+  // them may run; nobody is told.
   auto Accept(const std::string& id, const std::string& queue,
-              Millis first_due_ms = 0) -> void {
+              Millis first_due_ms = 0, int tasks = 1) -> void {
     JobRecord record;
     record.id_ = id;
     record.queue_ = queue;
@@ -261,8 +262,9 @@
     record.first_due_ms_ = first_due_ms;
     record.repeat_count_ = first_due_ms == 0 ? 0 : 1;
     Step step;
-    step.count_ = 1;
-    step.demand_.cpu_milli_ = kCapacityMilli;
+    step.count_ = tasks;
+    step.demand_.cpu_milli_ = kCapacityMilli / tasks;
+    step.max_per_worker_ = 1;
     record.steps_.push_back(step);
     store_.Put(JobKey(id), EncodeJob(record));
   }
@@ -438,6 +440,24 @@
   BOOST_TEST(test.workers_.stops_.empty());
 }
 
+// Guards against more tasks of a step on a worker than it allows: a run that
+// was listed before its job was known is one of them.
+BOOST_AUTO_TEST_CASE(run_listed_before_its_job_counts_against_the_step_limit) {
+  TakeOver test;
+  test.Accept("c3", "q");
+  test.Begin();
+  test.Accept("a1", "q", 0, 2);
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1", {{"c3.0.0.0", 3}});
+  test.Answer("t-0");
+  test.AwaitPass();
+  test.Deliver({"a1"});
+  test.AwaitPass();
+  BOOST_TEST(test.StartsOnS() == 0);
+  test.Answer("s-1", {}, {{1, {"c3.0.0.0", 3}, RunEnd::kDone, ""}});
+  test.Await([&] { return test.Started("a1.0.0.1 on s-1") == 1; });
+}
+
 // Guards against a task that runs twice: an occurrence that was due by the
 // previous owner's clock is not due yet by the new owner's.
 BOOST_AUTO_TEST_CASE(run_of_an_occurrence_not_due_yet_goes_on) {
