Copy the name of a lapsed task before the walk removes its run

World::EndLease passed the key of the run that Finish erases, by reference, so that a lapsed end was closed and listed under freed memory.

--- a/testing/walk_world_stand_in.cc
+++ b/testing/walk_world_stand_in.cc
@@ -360,7 +360,9 @@
     return;
   }
   while (left_out_ != LeftOut::kLeases && !worker.running_.empty()) {
-    Finish(worker, worker.running_.begin()->first, RunEnd::kLapsed);
+    // A copy: Finish removes the run together with its key.
+    const auto task = worker.running_.begin()->first;
+    Finish(worker, task, RunEnd::kLapsed);
   }
   OnLapse(worker);
 }
