Let a claim replace an owner record that cannot be read

Callers saw: nothing yet; found by going through what the store may hold. With such a record no instance becomes the owner, so no accepted job runs. Cause: an owner record that is not JSON or lacks a member was taken for no record, so claims expected the key to be absent and conflicted for ever. A record without an epoch scheduled no claim at all.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -38,6 +38,13 @@
 // Reports of peers older than this are ignored.
 constexpr Millis kPeerReportValidMs = 1800;
 
+auto ParseOwner(const Record& record) -> Owner {
+  const auto body = ParseJson(record.value_);
+  return {RequireString(body, "instance"), RequireString(body, "address"),
+          RequireInt(body, "epoch", 0, INT64_MAX), record.revision_,
+          record.lease_};
+}
+
 }  // namespace
 
 Election::Election(uv_loop_t* loop, RecordStore* store, Options options,
@@ -169,14 +176,12 @@
   Owner owner;
   if (!record.is_removed_) {
     try {
-      const auto body = ParseJson(record.value_);
-      owner.instance_ = RequireString(body, "instance");
-      owner.address_ = RequireString(body, "address");
-      owner.epoch_ = RequireInt(body, "epoch", 0, INT64_MAX);
-      owner.revision_ = record.revision_;
-      owner.lease_ = record.lease_;
+      owner = ParseOwner(record);
     } catch (const Error& e) {
       LogEvent(Event::kBadRecord, {{"key", kOwnerKey}, {"problem", e.what()}});
+      // It names no owner, but a claim has to replace it.
+      owner.revision_ = record.revision_;
+      owner.lease_ = record.lease_;
     }
   }
   const auto is_changed = owner.revision_ != owner_.revision_;
