Ignore owner records older than the one that is known

Callers saw: nothing yet; found by going through the order in which answers may arrive. An instance would follow a previous owner, or none, until the owner changes: its clients' pending counts get 503, its news of jobs and cancels are lost and wait for the owner's watch. An owner would step down over an answer from before its claim, or keep the rights of a claim that was replaced. Cause: the owner record is read, watched and claimed on several connections, whose answers may overtake each other; whichever arrived last was applied. Evidence: fleet_store_test before the change, 5 of 5 runs: an_overtaken_read_does_not_hide_the_owner: owner().instance_ == "x" [ != x] an_owner_heeds_only_changes_after_its_claim: IsOwner() has failed a_claim_that_was_replaced_meanwhile_gives_no_rights: [i != x] Change: each state of the record comes with the store's revision that it reflects; one that is older than the known state is ignored, and a claim that a later record has replaced already is given up. Result: the three cases pass.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -130,7 +130,7 @@
       if (!result.records_.empty()) {
         record = result.records_[0];
       }
-      ApplyOwnerRecord(record);
+      ApplyOwnerRecord(record, result.revision_);
       WatchOwner();
       return;
     }
@@ -162,7 +162,7 @@
         watch_revision_ = std::max(watch_revision_, result.revision_);
         for (const auto& record : result.records_) {
           if (record.key_ == kOwnerKey) {
-            ApplyOwnerRecord(record);
+            ApplyOwnerRecord(record, record.revision_);
           }
         }
         if (result.records_.empty() && owner_.address_.empty()) {
@@ -172,7 +172,12 @@
       });
 }
 
-auto Election::ApplyOwnerRecord(const Record& record) -> void {
+auto Election::ApplyOwnerRecord(const Record& record, std::int64_t revision)
+    -> void {
+  if (revision != 0 && revision < owner_known_revision_) {
+    return;
+  }
+  owner_known_revision_ = std::max(owner_known_revision_, revision);
   Owner owner;
   if (!record.is_removed_) {
     try {
@@ -322,7 +327,11 @@
       return;
     }
     is_claiming_ = false;
-    if (result.status_ != StoreStatus::kOk || is_claiming_disabled_) {
+    // A later state than that of the claim may be known by now.
+    const auto is_replaced = owner_known_revision_ > result.revision_ &&
+                             owner_.revision_ != result.revision_;
+    if (result.status_ != StoreStatus::kOk || is_claiming_disabled_ ||
+        is_replaced) {
       // Another instance won, or the outcome is unknown. The lease expires even
       // if it cannot be revoked. A claim that the store did carry out is read
       // back as a stale record of this instance (see ApplyOwnerRecord).
@@ -334,6 +343,7 @@
     lease_confirmed_ms_ = lease_sent_ms;
     had_rights_ = true;
     claim_ = {epoch, result.revision_, BootMs()};
+    owner_known_revision_ = std::max(owner_known_revision_, result.revision_);
     owner_ = {options_.instance_, options_.address_, epoch, result.revision_,
               lease};
     LogEvent(Event::kFleetElected,
@@ -359,7 +369,7 @@
       if (!result.records_.empty()) {
         record = result.records_[0];
       }
-      ApplyOwnerRecord(record);
+      ApplyOwnerRecord(record, result.revision_);
     });
   });
 }
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -101,7 +101,9 @@
   // Reads the owner record once after a delay; leaves the watch as it is.
   auto ScheduleOwnerRead() -> void;
   auto WatchOwner() -> void;
-  auto ApplyOwnerRecord(const Record& record) -> void;
+  // Applies the owner record as of the store's `revision`, unless a later state
+  // is known: answers may overtake each other. 0 means an unknown revision.
+  auto ApplyOwnerRecord(const Record& record, std::int64_t revision) -> void;
   auto ScheduleClaim(Millis delay_ms) -> void;
   auto Claim() -> void;
   auto CommitClaim(const LeaseResult& granted, std::int64_t epoch,
@@ -114,6 +116,8 @@
   Options options_;
   Hooks hooks_;
   Owner owner_;
+  // The store's revision that owner_ reflects.
+  std::int64_t owner_known_revision_ = 0;
   std::int64_t watch_revision_ = 0;
   OwnerClaim claim_;
   std::int64_t lease_ = 0;
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -3,6 +3,7 @@
 // that is gone. Most cases answer each store call by hand.
 
 #define BOOST_TEST_MODULE fleet_store
+#include <fmt/format.h>
 #include <uv.h>
 
 #include <algorithm>
@@ -23,7 +24,7 @@
 // Cases wait for conditions; this bounds a case that never gets there.
 constexpr Millis kPatienceMs = 20000;
 
-auto RunUntil(const std::function<bool()>& condition) -> bool {
+auto RunUntil(const std::function<bool()> &condition) -> bool {
   const auto until = MonotonicMs() + kPatienceMs;
   RepeatingTimer waker(uv_default_loop(), 5, [] {});
   while (!condition() && MonotonicMs() < until) {
@@ -44,18 +45,18 @@
     LeaseCallback lease_;
   };
 
-  auto Read(const std::string& key, ReadCallback callback) -> void override {
+  auto Read(const std::string &key, ReadCallback callback) -> void override {
     calls_.push_back({"read " + key, {}, std::move(callback), {}, {}});
   }
-  auto ReadPrefix(const std::string& prefix, ReadCallback callback)
+  auto ReadPrefix(const std::string &prefix, ReadCallback callback)
       -> void override {
     calls_.push_back({"range " + prefix, {}, std::move(callback), {}, {}});
   }
-  auto Watch(const std::string& prefix, std::int64_t, Millis,
+  auto Watch(const std::string &prefix, std::int64_t, Millis,
              ReadCallback callback) -> void override {
     calls_.push_back({"watch " + prefix, {}, std::move(callback), {}, {}});
   }
-  auto Commit(const Transaction& transaction, CommitCallback callback)
+  auto Commit(const Transaction &transaction, CommitCallback callback)
       -> void override {
     calls_.push_back({"commit", transaction, {}, std::move(callback), {}});
   }
@@ -66,10 +67,10 @@
   auto RevokeLease(std::int64_t) -> void override {}
 
   // Waits for a call and takes it off the list.
-  auto Await(const std::string& name) -> Call {
+  auto Await(const std::string &name) -> Call {
     const auto find = [&] {
       return std::find_if(calls_.begin(), calls_.end(),
-                          [&](const Call& call) { return call.name_ == name; });
+                          [&](const Call &call) { return call.name_ == name; });
     };
     BOOST_REQUIRE_MESSAGE(RunUntil([&] { return find() != calls_.end(); }),
                           "no call: " << name);
@@ -87,13 +88,24 @@
   return {StoreStatus::kOk, std::move(records), revision, BootMs()};
 }
 
+auto Absent(std::int64_t revision) -> ReadResult {
+  return {StoreStatus::kAbsent, {}, revision, BootMs()};
+}
+
+auto OwnerRecord(const std::string &instance, std::int64_t revision) -> Record {
+  return {
+      kOwnerKey,
+      fmt::format(R"({{"instance":"{}","address":"a:1","epoch":4}})", instance),
+      revision, 6};
+}
+
 struct Candidate {
   ScriptedStore store_;
   Election election_{
       uv_default_loop(),
       &store_,
       {"i", "i:1", 1500, 0},
-      {[](const OwnerClaim&) {}, [](const std::string&) {}, [] {}}};
+      {[](const OwnerClaim &) {}, [](const std::string &) {}, [] {}}};
 
   Candidate() { SetLogLevel(LogLevel::kError); }
 
@@ -110,7 +122,7 @@
 // Guards against: nobody claims, because the claim expects no owner record
 // while one that cannot be read is there.
 BOOST_AUTO_TEST_CASE(an_unreadable_owner_record_is_replaced_by_a_claim) {
-  for (const auto* text : {"{", "{}", R"({"instance":"x","address":"a:1"})"}) {
+  for (const auto *text : {"{", "{}", R"({"instance":"x","address":"a:1"})"}) {
     BOOST_TEST_CONTEXT(text) {
       Candidate candidate;
       candidate.store_.Await("read ls/owner")
@@ -123,4 +135,60 @@
   }
 }
 
+// Guards against: an instance asks and tells a previous owner, or none, until
+// the owner changes again.
+BOOST_AUTO_TEST_CASE(an_overtaken_read_does_not_hide_the_owner) {
+  for (const auto has_previous : {false, true}) {
+    BOOST_TEST_CONTEXT("previous owner: " << has_previous) {
+      Candidate candidate;
+      candidate.store_.Await("read ls/owner").read_(Absent(10));
+      candidate.AwaitClaim().commit_({StoreStatus::kConflict, 0, {}});
+      const auto overtaken = candidate.store_.Await("read ls/owner");
+      candidate.store_.Await("watch ls/owner")
+          .read_(Found({OwnerRecord("x", 20)}, 20));
+      BOOST_TEST(candidate.election_.owner().instance_ == "x");
+      overtaken.read_(has_previous ? Found({OwnerRecord("w", 12)}, 15)
+                                   : Absent(15));
+      BOOST_TEST(candidate.election_.owner().instance_ == "x");
+    }
+  }
+}
+
+// Guards against: a new owner gives up over an answer from before its claim,
+// and the fleet has none for the time of another take-over.
+BOOST_AUTO_TEST_CASE(an_owner_heeds_only_changes_after_its_claim) {
+  Candidate candidate;
+  candidate.store_.Await("read ls/owner").read_(Absent(10));
+  candidate.AwaitClaim().commit_({StoreStatus::kUnknown, 0, {}});
+  const auto overtaken = candidate.store_.Await("read ls/owner");
+  candidate.store_.Await("watch ls/owner").read_(Found({}, 12));
+  candidate.AwaitClaim().commit_({StoreStatus::kOk, 20, {}});
+  BOOST_REQUIRE(candidate.election_.IsOwner());
+  overtaken.read_(Absent(13));
+  BOOST_TEST(candidate.election_.IsOwner());
+  Record removed;
+  removed.key_ = kOwnerKey;
+  removed.revision_ = 13;
+  removed.is_removed_ = true;
+  candidate.store_.Await("watch ls/owner")
+      .read_(Found({removed, OwnerRecord("i", 20)}, 21));
+  BOOST_TEST(candidate.election_.IsOwner());
+  removed.revision_ = 30;
+  candidate.store_.Await("watch ls/owner").read_(Found({removed}, 30));
+  BOOST_TEST(!candidate.election_.IsOwner());
+}
+
+// Guards against: two owners, if the answer to a claim comes after the news
+// that another instance has claimed since.
+BOOST_AUTO_TEST_CASE(a_claim_that_was_replaced_meanwhile_gives_no_rights) {
+  Candidate candidate;
+  candidate.store_.Await("read ls/owner").read_(Absent(10));
+  const auto claim = candidate.AwaitClaim();
+  candidate.store_.Await("watch ls/owner")
+      .read_(Found({OwnerRecord("i", 20), OwnerRecord("x", 25)}, 25));
+  claim.commit_({StoreStatus::kOk, 20, {}});
+  BOOST_TEST(!candidate.election_.IsOwner());
+  BOOST_TEST(candidate.election_.owner().instance_ == "x");
+}
+
 }  // namespace lentilscale::fleet
