Keep a deleted job from coming back with a late read

Cause: when the store has dropped the history of the inbox, the owner reads the inbox anew. An ended job that is deleted between that read and its answer is unknown by then and was added as a new job without progress.

--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -138,8 +138,12 @@
                 if (!*alive || all.status_ != StoreStatus::kOk) {
                   return;
                 }
+                // Earlier records have been applied. One of them may have been
+                // deleted since it was read, and must not be added again.
                 for (const auto& record : all.records_) {
-                  ApplyInboxRecord(record, false);
+                  if (record.revision_ > inbox_revision_) {
+                    ApplyInboxRecord(record, false);
+                  }
                 }
                 inbox_revision_ = std::max(inbox_revision_, all.revision_);
               });
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -10,9 +10,11 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <list>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "fleet/dispatcher.h"
 #include "fleet/election.h"
 #include "fleet/store_keys.h"
 #include "lentilscale/log.h"
@@ -117,6 +119,62 @@
   }
 };
 
+class IdleGateway : public WorkerGateway, public AdviceGateway {
+ public:
+  auto Start(const WorkerEntry &, const StartOrder &, OrderCallback)
+      -> void override {}
+  auto Stop(const WorkerEntry &, const RunRef &, std::int64_t, OrderCallback)
+      -> void override {}
+  auto Hold(const WorkerEntry &, const HoldOrder &, HoldCallback)
+      -> void override {}
+  auto Pace(const WorkerEntry &, const RunRef &, int, std::int64_t,
+            OrderCallback) -> void override {}
+  auto RequestAdvice(const std::string &, const std::vector<std::string> &,
+                     Millis, Callback) -> void override {}
+};
+
+// A dispatcher that has just taken over, without workers.
+struct NewOwner {
+  IdleGateway gateway_;
+  AdviceBalancer advice_{&gateway_, {}};
+  FleetMetrics metrics_;
+  Dispatcher dispatcher_;
+
+  explicit NewOwner(RecordStore *store, Millis status_retention_ms = 120000)
+      : dispatcher_(uv_default_loop(), store, &gateway_, &advice_, &metrics_,
+                    {2, 7, BootMs()}, MakeOptions(status_retention_ms),
+                    {[] { return true; }, [](const std::string &) {},
+                     [] { return std::make_shared<const FleetConfig>(); },
+                     [](const std::string &,
+                        const std::string &) -> absl::StatusOr<WorkerEntry> {
+                       return absl::InvalidArgumentError("no worker");
+                     }}) {
+    SetLogLevel(LogLevel::kError);
+  }
+
+  static auto MakeOptions(Millis status_retention_ms) -> DispatcherOptions {
+    DispatcherOptions options;
+    options.status_retention_ms_ = status_retention_ms;
+    options.worker_prefix_ = "servers/";
+    return options;
+  }
+};
+
+auto IdOf(int number) -> std::string { return fmt::format("{:016x}", number); }
+
+auto JobText(const std::string &id) -> std::string {
+  JobRecord job;
+  job.id_ = id;
+  job.queue_ = "q";
+  job.steps_.resize(1);
+  job.steps_[0].count_ = 1;
+  return EncodeJob(job);
+}
+
+auto JobEntry(int number, std::int64_t revision) -> Record {
+  return {JobKey(IdOf(number)), JobText(IdOf(number)), revision, 0};
+}
+
 }  // namespace
 
 // Guards against: nobody claims, because the claim expects no owner record
@@ -191,4 +249,27 @@
   BOOST_TEST(candidate.election_.owner().instance_ == "x");
 }
 
+// Guards against: an ended job that is deleted while the inbox is read again
+// comes back as a new one, and its tasks run once more.
+BOOST_AUTO_TEST_CASE(a_deleted_job_does_not_come_back_with_a_late_read) {
+  ScriptedStore store;
+  NewOwner owner(&store, 0);
+  ProgressRecord ended;
+  ended.state_ = JobState::kCompleted;
+  store.Await("range ls/in/").read_(Found({JobEntry(1, 10)}, 50));
+  store.Await("range ls/progress/")
+      .read_(Found({{ProgressKey(IdOf(1)), EncodeProgress(ended), 20}}, 50));
+  store.Await("read ls/workers").read_(Absent(50));
+  store.Await("range servers/").read_(Found({}, 50));
+  BOOST_TEST((owner.dispatcher_.GetJobState(IdOf(1)) == JobState::kCompleted));
+  store.Await("watch ls/in/").read_({StoreStatus::kCompacted, {}, 0, 0});
+  const auto read = store.Await("range ls/in/");
+  const auto purge = store.Await("commit");
+  BOOST_TEST(purge.transaction_.deletes_.size() == 3U);
+  purge.commit_({StoreStatus::kOk, 60, {}});
+  read.read_(Found({JobEntry(1, 10), JobEntry(2, 55)}, 56));
+  BOOST_TEST(!owner.dispatcher_.GetJobState(IdOf(1)).has_value());
+  BOOST_TEST((owner.dispatcher_.GetJobState(IdOf(2)) == JobState::kQueued));
+}
+
 }  // namespace lentilscale::fleet
