Test what is written between the pages of a take-over's read

A take-over with more than a page of jobs had no test. The emulator's pages also end at 1 MB, and a test can write, or drop the history, after each page.

--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -17,8 +17,11 @@
 #include "fleet/dispatcher.h"
 #include "fleet/election.h"
 #include "fleet/store_keys.h"
+#include "lentilscale/http_client.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
+#include "platform/kv_store.h"
+#include "testing/platform_emulator_stand_in.h"
 
 namespace lentilscale::fleet {
 namespace {
@@ -162,9 +165,11 @@
 
 auto IdOf(int number) -> std::string { return fmt::format("{:016x}", number); }
 
-auto JobText(const std::string &id) -> std::string {
+auto JobText(const std::string &id, std::size_t spec_bytes = 10)
+    -> std::string {
   JobRecord job;
   job.id_ = id;
+  job.spec_ = std::string(spec_bytes, 'x');
   job.queue_ = "q";
   job.steps_.resize(1);
   job.steps_[0].count_ = 1;
@@ -272,4 +277,60 @@
   BOOST_TEST((owner.dispatcher_.GetJobState(IdOf(2)) == JobState::kQueued));
 }
 
+// Guards against: a job or a cancellation that is written between two pages of
+// a take-over's read, before the place that has been reached, is never taken.
+BOOST_AUTO_TEST_CASE(what_is_written_between_pages_is_taken) {
+  struct Case {
+    int jobs_;
+    // Small texts fill pages by their number, large ones by their size.
+    std::size_t spec_bytes_;
+    bool drops_history_;
+  };
+  const std::vector<Case> cases = {
+      {1200, 10, false}, {1200, 10, true}, {700, 4000, false}};
+  for (const auto &c : cases) {
+    BOOST_TEST_CONTEXT(c.jobs_ << " jobs of " << c.spec_bytes_ << " bytes, "
+                               << (c.drops_history_ ? "no history" : "")) {
+      testing::EmulatedStore emulated(uv_default_loop());
+      HttpClient client(uv_default_loop(), HttpClient::Options{});
+      platform::KvStore store(&client, emulated.address());
+      const auto put_job = [&](int number) {
+        emulated.Put(JobKey(IdOf(number)),
+                     JobText(IdOf(number), c.spec_bytes_));
+      };
+      for (auto i = 0; i < c.jobs_; ++i) {
+        put_job(2 * i + 1);
+      }
+      auto pages = 0;
+      emulated.SetPageHook([&](const std::string &prefix) {
+        if (prefix != kInboxPrefix || pages == 2) {
+          return;
+        }
+        put_job(2 * pages);
+        emulated.Put(CancelKey(IdOf(2 * pages + 1)), "{}");
+        ++pages;
+        if (c.drops_history_) {
+          emulated.DropHistory();
+        }
+      });
+      NewOwner owner(&store);
+      const auto has_state = [&](int number, JobState state) {
+        return owner.dispatcher_.GetJobState(IdOf(number)) == state;
+      };
+      BOOST_TEST(RunUntil([&] {
+        return has_state(0, JobState::kQueued) &&
+               has_state(2, JobState::kQueued) &&
+               has_state(1, JobState::kCancelled) &&
+               has_state(3, JobState::kCancelled);
+      }));
+      BOOST_TEST(pages == 2);
+      for (auto i = 2; i < c.jobs_; ++i) {
+        BOOST_TEST_CONTEXT(i) {
+          BOOST_TEST(has_state(2 * i + 1, JobState::kQueued));
+        }
+      }
+    }
+  }
+}
+
 }  // namespace lentilscale::fleet
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -18,6 +18,7 @@
 constexpr Millis kMaxHoldMs = 10000;
 constexpr Millis kGangWaitMs = 3000;
 constexpr std::size_t kPageItems = 500;
+constexpr std::size_t kPageBytes = 1 << 20;
 constexpr Millis kTicketValidMs = 2000;
 
 auto Listen(uv_loop_t* loop, HttpServer::Handler handler)
@@ -225,17 +226,22 @@
     const auto after = request.QueryParam("after", "");
     answer["items"] = Json::Value(Json::arrayValue);
     answer["truncated"] = false;
+    std::size_t bytes = 0;
     for (const auto& [key, item] : items_) {
       if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
         continue;
       }
-      if (answer["items"].size() == kPageItems) {
+      if (answer["items"].size() == kPageItems || bytes > kPageBytes) {
         answer["truncated"] = true;
         break;
       }
+      bytes += item.value_.size();
       answer["items"].append(ItemToJson(key, item));
     }
     reply->Send(200, DumpJson(answer));
+    if (page_hook_) {
+      page_hook_(prefix);
+    }
   } else if (request.path_ == "/kv-watch") {
     const auto after = std::atoll(request.QueryParam("after", "0").c_str());
     if (after + 1 < first_kept_) {
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -58,6 +58,10 @@
     late_transactions_ = count;
     late_ms_ = delay_ms;
   }
+  // `hook` runs after each page of a range has been read, with its prefix.
+  auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
+    page_hook_ = std::move(hook);
+  }
   // Forgets all history, so that watches must read anew.
   auto DropHistory() -> void;
 
@@ -122,6 +126,7 @@
   int answers_to_lose_ = 0;
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
+  std::function<void(const std::string&)> page_hook_;
   std::int64_t revision_ = 1;
   std::int64_t first_kept_ = 1;
   std::int64_t next_lease_ = 100;
