Create the occurrences that a job's record lists at once

Callers saw: nothing yet; found by going through take-overs of repeated jobs. A task that was done and acknowledged would run again, or a job whose tasks have all ended would be shown as running for ever. Cause: a new owner creates occurrences when they are due by its own clock. If that is behind the clock of the previous owner, the record lists later ones. The next record left them out, so that the next but one owner knew nothing of what was done of them. Had all their tasks ended, the job ended when the occurrence was created, which records no end. Result: the case passes. An occurrence that has started and is not in the record yet is still unknown until it is due.

--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -125,7 +125,11 @@
     }
     return ready;
   }
-  while (next_occurrence_ < record_.repeat_count_ && NextDueMs() <= wall_ms) {
+  // What the record lists was due by the clock of an earlier owner.
+  const auto last_recorded =
+      progress_.done_.empty() ? -1 : progress_.done_.rbegin()->first;
+  while (next_occurrence_ < record_.repeat_count_ &&
+         (next_occurrence_ <= last_recorded || NextDueMs() <= wall_ms)) {
     const auto added = AddOccurrence(next_occurrence_++, now_ms);
     ready.insert(ready.end(), added.begin(), added.end());
   }
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -132,9 +132,9 @@
   auto IsYielding(const StepRun& step, const Queue& queue, Millis wall_ms) const
       -> bool;
 
-  // Creates the occurrences that are due by `wall_ms`. A job without due times
-  // has a single occurrence, which is due at once. Returns the steps that
-  // became ready.
+  // Creates the occurrences that are due by `wall_ms` or that the stored record
+  // lists. A job without due times has a single occurrence, which is due at
+  // once. Returns the steps that became ready.
   auto CreateDueOccurrences(Millis wall_ms, Millis now_ms)
       -> std::vector<StepRun*>;
   // Returns the due time (wall clock) of the next occurrence to create, or 0 if
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -160,6 +160,32 @@
   BOOST_TEST((job.state() == JobState::kCompleted));
 }
 
+// Guards against: an owner whose clock is behind forgets what was done of an
+// occurrence, or never records the end of a job whose last one was done first.
+BOOST_AUTO_TEST_CASE(recorded_occurrences_do_not_wait_for_a_slow_clock) {
+  auto record = MakeRecord({MakeStep(2)});
+  record.repeat_count_ = 2;
+  record.first_due_ms_ = 1000;
+  record.interval_ms_ = 500;
+  Job job(record, {}, false);
+  const auto steps = job.CreateDueOccurrences(1500, 0);
+  BOOST_REQUIRE_EQUAL(steps.size(), 2U);
+  job.MarkDone(*steps[1], 0, 0);
+  Job second(record, job.Progress(), true);
+  second.CreateDueOccurrences(1200, 0);
+  Job third(record, second.Progress(), true);
+  third.CreateDueOccurrences(1500, 0);
+  BOOST_REQUIRE(third.FindStep(1, 0) != nullptr);
+  BOOST_TEST(third.FindStep(1, 0)->done_count_ == 1);
+
+  job.MarkDone(*steps[1], 1, 0);
+  Job last(record, job.Progress(), true);
+  last.CreateDueOccurrences(1200, 0);
+  last.MarkDone(*last.FindStep(0, 0), 0, 0);
+  last.MarkDone(*last.FindStep(0, 0), 1, 0);
+  BOOST_TEST((last.state() == JobState::kCompleted));
+}
+
 // After a take-over, runs of a job that has ended still take their room.
 BOOST_AUTO_TEST_CASE(the_shape_of_an_ended_jobs_tasks_is_known) {
   ProgressRecord progress;
