Drop the failures of finished occurrences from a job's record

Callers saw: nothing yet; found by going through the sizes of the records. Cause: the numbers of failed runs stayed in the progress record of a repeated job after their occurrence was done, so the record grew as long as the job repeated. The store refuses a value over value_bytes (1 MB), and a refused write is repeated for ever, together with the other records of its transaction. Evidence: failures_of_finished_occurrences_leave_the_record before the change, 5 of 5 runs: check !open.failures_.contains("0.0.0") has failed check job.Progress().failures_.empty() has failed Change: the failures of an occurrence are dropped when it and all earlier ones are done. Result: the case passes.

--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -264,6 +264,10 @@
     if (it == occurrences_.end() || !is_done(it->second)) {
       break;
     }
+    const auto prefix = fmt::format("{}.", progress_.occurrences_done_);
+    std::erase_if(progress_.failures_, [&](const auto& entry) {
+      return entry.first.starts_with(prefix);
+    });
     ++progress_.occurrences_done_;
   }
   const auto total = std::max<std::int64_t>(record_.repeat_count_, 1);
--- a/fleet/job_record.h
+++ b/fleet/job_record.h
@@ -91,7 +91,7 @@
   // task, 'D' if it is done and '.' if not.
   std::map<std::int64_t, std::vector<std::string>> done_;
   // Numbers of the failed runs, by task ("OCCURRENCE.STEP.INDEX") or gang
-  // ("OCCURRENCE.STEP").
+  // ("OCCURRENCE.STEP"), of occurrences that are not done.
   std::map<std::string, std::set<std::int64_t>> failures_;
   // Latest checkpoints of unfinished tasks, by "OCCURRENCE.STEP.INDEX".
   std::map<std::string, std::string> checkpoints_;
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -186,6 +186,36 @@
   BOOST_TEST((last.state() == JobState::kCompleted));
 }
 
+// Guards against: the record of a job that repeats for long outgrows what the
+// store takes, and with it all records of the same write are refused for ever.
+BOOST_AUTO_TEST_CASE(failures_of_finished_occurrences_leave_the_record) {
+  auto gang = MakeStep(2);
+  gang.is_gang_ = true;
+  auto record = MakeRecord({MakeStep(1), gang});
+  record.repeat_count_ = 100;
+  record.interval_ms_ = 10;
+  Job job(record, {}, false);
+  for (std::int64_t i = 0; i < 20; ++i) {
+    job.CreateDueOccurrences(10 * i, 0);
+    job.MarkFailed(*job.FindStep(i, 0), 0, 1, 3);
+    job.MarkFailed(*job.FindStep(i, 1), 0, 1, 3);
+    // The second occurrence stays open until the others are done.
+    if (i != 1) {
+      job.MarkDone(*job.FindStep(i, 0), 0, 0);
+      job.MarkDone(*job.FindStep(i, 1), 0, 0);
+    }
+  }
+  const auto open = job.Progress();
+  BOOST_TEST(!open.failures_.contains("0.0.0"));
+  BOOST_TEST(!open.failures_.contains("0.1"));
+  BOOST_TEST(open.failures_.contains("1.0.0"));
+  BOOST_TEST(open.failures_.contains("1.1"));
+  job.MarkDone(*job.FindStep(1, 0), 0, 0);
+  job.MarkDone(*job.FindStep(1, 1), 0, 0);
+  BOOST_TEST(job.Progress().failures_.empty());
+  BOOST_TEST(job.Progress().occurrences_done_ == 20);
+}
+
 // After a take-over, runs of a job that has ended still take their room.
 BOOST_AUTO_TEST_CASE(the_shape_of_an_ended_jobs_tasks_is_known) {
   ProgressRecord progress;
