Refuse a job whose stored record no owner could read

Callers saw: nothing yet; found by going through what is accepted and what is read back. Such a job got 200, stayed queued and never ran, or was lost at the next take-over if the owner itself had accepted it. Cause: a step's estimate and target were taken as any number, but are read from the record only if they are from 0 to 10^12 ms. Result: the case passes; the other fields were bounded alike already.

--- a/fleet/job_record.cc
+++ b/fleet/job_record.cc
@@ -99,6 +99,12 @@
       return fmt::format("step {} must have from 1 to {} tasks", i,
                          kMaxTasksPerStep);
     }
+    for (const auto ms :
+         {job.steps_[i].estimate_ms_, job.steps_[i].tail_latency_target_ms_}) {
+      if (ms < 0 || ms > kMaxAmount) {
+        return fmt::format("step {} has a time of {} ms", i, ms);
+      }
+    }
     for (const auto earlier : job.steps_[i].after_) {
       if (earlier < 0 || static_cast<std::size_t>(earlier) >= i) {
         return fmt::format("step {} waits for step {}, which is not earlier", i,
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -20,6 +20,7 @@
 #include "lentilscale/http_client.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
+#include "platform/documents.h"
 #include "platform/kv_store.h"
 #include "testing/platform_emulator_stand_in.h"
 
@@ -277,6 +278,47 @@
   BOOST_TEST((owner.dispatcher_.GetJobState(IdOf(2)) == JobState::kQueued));
 }
 
+// Guards against: a job is accepted, but no owner can read its record or it
+// runs with another text.
+BOOST_AUTO_TEST_CASE(what_is_accepted_can_be_read_back) {
+  struct Case {
+    const char *spec_;
+    const char *step_;
+  };
+  const std::vector<Case> cases = {
+      {"plain", R"("estimate_ms":700)"},
+      {R"(\u0000 \" \\ \n \ud83d\ude00)", R"("estimate_ms":0.5)"},
+      {"caf\xc3\xa9", R"("cpu":1000000000000)"},
+      {"\xff\xfe", R"("gpu":8)"},
+      {"x", R"("estimate_ms":-5)"},
+      {"x", R"("estimate_ms":2e12)"},
+      {"x", R"("estimate_ms":1e300)"},
+      {"x", R"("target_ms":-1)"},
+      {"x", R"("target_ms":2e12)"},
+      {"x", R"("cpu":-1)"},
+      {"x", R"("max_per_server":5000)"},
+      {"x", R"("after":[1e10])"},
+      {"x", R"("may_miss":-1)"},
+  };
+  auto accepted = 0;
+  for (const auto &c : cases) {
+    BOOST_TEST_CONTEXT(c.spec_ << " " << c.step_) {
+      const auto job = platform::ParseJob(fmt::format(
+          R"({{"spec":"{}","steps":[{{"count":2,{}}}]}})", c.spec_, c.step_));
+      if (job.ok()) {
+        ++accepted;
+        auto stored = *job;
+        stored.id_ = IdOf(1);
+        stored.queue_ = "q";
+        const auto read = DecodeJob(EncodeJob(stored));
+        BOOST_TEST(read.ok());
+        BOOST_TEST((read.ok() && read->spec_ == stored.spec_));
+      }
+    }
+  }
+  BOOST_TEST(accepted >= 4);
+}
+
 // Guards against: a job or a cancellation that is written between two pages of
 // a take-over's read, before the place that has been reached, is never taken.
 BOOST_AUTO_TEST_CASE(what_is_written_between_pages_is_taken) {
