Bound the unfinished occurrences of a job in memory

Callers saw: nothing yet; found by going through repeated jobs. One accepted job with a short interval and a start long past stops each owner in turn: no other job runs. Cause: all due occurrences were created at once, in one call, when the owner took the job. Before the change, 1 of 1 run of due_occurrences_are_created_as_earlier_ones_end (no timers, no I/O): check most <= kMaxOpenOccurrences has failed [20000 > 1000] Change: at most 1,000 unfinished occurrences are created; further ones that are due follow as these end. The open ones are kept as a set, from which occurrences_done_ follows. NextDueMs is not 0 for an occurrence due in 1970. Result: the case passes. Finished occurrences stay in memory as before.

--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -96,10 +96,8 @@
   if (objective == 0) {
     return false;
   }
-  const auto due =
-      record_.repeat_count_ == 0
-          ? record_.accepted_ms_
-          : record_.first_due_ms_ + step.occurrence_ * record_.interval_ms_;
+  const auto due = record_.repeat_count_ == 0 ? record_.accepted_ms_
+                                              : DueMs(step.occurrence_);
   const auto age = wall_ms - due;
   return age + RemainingMs(step.step_number_, queue) > objective &&
          age < kMaxYieldObjectives * objective;
@@ -110,7 +108,12 @@
       next_occurrence_ >= record_.repeat_count_) {
     return 0;
   }
-  return record_.first_due_ms_ + next_occurrence_ * record_.interval_ms_;
+  // 0 would mean that there is none.
+  return std::max<Millis>(1, DueMs(next_occurrence_));
+}
+
+auto Job::DueMs(std::int64_t occurrence) const -> Millis {
+  return record_.first_due_ms_ + occurrence * record_.interval_ms_;
 }
 
 auto Job::CreateDueOccurrences(Millis wall_ms, Millis now_ms)
@@ -129,7 +132,9 @@
   const auto last_recorded =
       progress_.done_.empty() ? -1 : progress_.done_.rbegin()->first;
   while (next_occurrence_ < record_.repeat_count_ &&
-         (next_occurrence_ <= last_recorded || NextDueMs() <= wall_ms)) {
+         (next_occurrence_ <= last_recorded ||
+          (DueMs(next_occurrence_) <= wall_ms &&
+           open_occurrences_.size() < kMaxOpenOccurrences))) {
     const auto added = AddOccurrence(next_occurrence_++, now_ms);
     ready.insert(ready.end(), added.begin(), added.end());
   }
@@ -165,6 +170,8 @@
     }
     steps.push_back(std::move(step));
   }
+  open_occurrences_.insert(number);
+  CloseIfDone(number);
   auto ready = MarkReadySteps(number, now_ms);
   UpdateCompletion();
   return ready;
@@ -250,25 +257,27 @@
     return {};
   }
   auto ready = MarkReadySteps(occurrence, now_ms);
+  CloseIfDone(occurrence);
   UpdateCompletion();
   return ready;
 }
 
+auto Job::CloseIfDone(std::int64_t occurrence) -> void {
+  const auto& steps = occurrences_[occurrence];
+  if (std::all_of(steps.begin(), steps.end(),
+                  [](const auto& step) { return step->IsDone(); })) {
+    open_occurrences_.erase(occurrence);
+  }
+}
+
 auto Job::UpdateCompletion() -> void {
-  const auto is_done = [](const auto& steps) {
-    return std::all_of(steps.begin(), steps.end(),
-                       [](const auto& step) { return step->IsDone(); });
-  };
-  while (true) {
-    const auto it = occurrences_.find(progress_.occurrences_done_);
-    if (it == occurrences_.end() || !is_done(it->second)) {
-      break;
-    }
+  const auto done =
+      open_occurrences_.empty() ? next_occurrence_ : *open_occurrences_.begin();
+  for (; progress_.occurrences_done_ < done; ++progress_.occurrences_done_) {
     const auto prefix = fmt::format("{}.", progress_.occurrences_done_);
     std::erase_if(progress_.failures_, [&](const auto& entry) {
       return entry.first.starts_with(prefix);
     });
-    ++progress_.occurrences_done_;
   }
   const auto total = std::max<std::int64_t>(record_.repeat_count_, 1);
   if (progress_.occurrences_done_ >= total && !IsEnded()) {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
 
 namespace lentilscale::fleet {
 
+// Limit on the unfinished occurrences of a job that are in memory, so that one
+// job cannot exhaust it. Further ones are created as these end.
+inline constexpr std::size_t kMaxOpenOccurrences = 1000;
+
 class Job;
 
 // Identifies a task by its job, occurrence, step and index.
@@ -132,9 +137,10 @@
   auto IsYielding(const StepRun& step, const Queue& queue, Millis wall_ms) const
       -> bool;
 
-  // Creates the occurrences that are due by `wall_ms` or that the stored record
-  // lists. A job without due times has a single occurrence, which is due at
-  // once. Returns the steps that became ready.
+  // Creates the occurrences that the stored record lists and those that are due
+  // by `wall_ms`, up to kMaxOpenOccurrences. A job without due times has a
+  // single occurrence, which is due at once. Returns the steps that became
+  // ready.
   auto CreateDueOccurrences(Millis wall_ms, Millis now_ms)
       -> std::vector<StepRun*>;
   // Returns the due time (wall clock) of the next occurrence to create, or 0 if
@@ -179,10 +185,14 @@
   Millis end_recorded_ms_ = 0;
 
  private:
+  // Returns the due time (wall clock) of an occurrence of a repeated job.
+  auto DueMs(std::int64_t occurrence) const -> Millis;
   auto AddOccurrence(std::int64_t number, Millis now_ms)
       -> std::vector<StepRun*>;
   auto MarkReadySteps(std::int64_t occurrence, Millis now_ms)
       -> std::vector<StepRun*>;
+  // Removes the occurrence from the open ones if all its steps are done.
+  auto CloseIfDone(std::int64_t occurrence) -> void;
   auto UpdateCompletion() -> void;
 
   // Returns the estimated time from the step's start to the job's end if no
@@ -201,6 +211,8 @@
   std::vector<CriticalPath> critical_paths_;
   bool is_recovered_;
   std::int64_t next_occurrence_ = 0;
+  // Numbers of the occurrences that were created and are not done.
+  std::set<std::int64_t> open_occurrences_;
   // Steps by occurrence number and step number.
   std::map<std::int64_t, std::vector<std::unique_ptr<StepRun>>> occurrences_;
 };
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -216,6 +216,29 @@
   BOOST_TEST(job.Progress().occurrences_done_ == 20);
 }
 
+// Guards against: one job with very many due occurrences exhausts the memory of
+// each owner in turn, and no other job runs.
+BOOST_AUTO_TEST_CASE(due_occurrences_are_created_as_earlier_ones_end) {
+  auto record = MakeRecord({MakeStep(1)});
+  record.repeat_count_ = 20000;
+  Job job(record, {}, false);
+  auto open = job.CreateDueOccurrences(1000, 0);
+  const auto most = open.size();
+  BOOST_TEST(most <= kMaxOpenOccurrences);
+  BOOST_TEST(job.CreateDueOccurrences(1000, 0).empty());
+  BOOST_TEST(job.NextDueMs() != 0);
+  // The first one stays open; the others make room as they end.
+  for (std::size_t i = 1; i < open.size(); ++i) {
+    job.MarkDone(*open[i], 0, 0);
+    const auto added = job.CreateDueOccurrences(1000, 0);
+    open.insert(open.end(), added.begin(), added.end());
+  }
+  BOOST_TEST(open.size() == 20000U);
+  BOOST_TEST(!job.IsEnded());
+  job.MarkDone(*open[0], 0, 0);
+  BOOST_TEST((job.state() == JobState::kCompleted));
+}
+
 // After a take-over, runs of a job that has ended still take their room.
 BOOST_AUTO_TEST_CASE(the_shape_of_an_ended_jobs_tasks_is_known) {
   ProgressRecord progress;
