Repeat a claim that could not be made

Callers saw: nothing yet; found by going through the courses in which nobody claims. The fleet had no owner for up to 2 s more than it needs. Cause: a claim ended without another if the owner that it was to replace had left meanwhile (its lease expired while the claim waited for its turn), or if the store refused the lease or the read of the epoch. Only the next empty answer of the owner watch, 2 s later, scheduled a claim again.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -18,6 +18,8 @@
 
 constexpr Millis kWatchWaitMs = 2000;
 constexpr Millis kRetryMs = 200;
+// Pause before a claim is repeated whose calls the store did not answer.
+constexpr Millis kClaimRetryMs = 500;
 // Renewals per time to live of the lease.
 constexpr Millis kRenewalsPerTtl = 4;
 // The owner considers its lease expired this long before the store does.
@@ -255,9 +257,16 @@
   });
 }
 
+auto Election::AbandonClaim(Millis retry_ms) -> void {
+  is_claiming_ = false;
+  if (owner_.address_.empty()) {
+    ScheduleClaim(retry_ms);
+  }
+}
+
 auto Election::Claim() -> void {
   if (owner_.revision_ != expected_owner_revision_) {
-    is_claiming_ = false;
+    AbandonClaim(0);
     return;
   }
   // The lease and the epoch are requested in parallel to save a round trip.
@@ -273,7 +282,7 @@
                                epoch.status_ == StoreStatus::kAbsent;
     if (answers->lease_.status_ != StoreStatus::kOk || !is_epoch_read ||
         is_claiming_disabled_) {
-      is_claiming_ = false;
+      AbandonClaim(kClaimRetryMs + ClaimDelayMs());
       return;
     }
     std::int64_t latest_epoch = 0;
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -106,6 +106,9 @@
   auto ApplyOwnerRecord(const Record& record, std::int64_t revision) -> void;
   auto ScheduleClaim(Millis delay_ms) -> void;
   auto Claim() -> void;
+  // Ends a claim that was not sent. If there is no owner, another one follows
+  // after `retry_ms`.
+  auto AbandonClaim(Millis retry_ms) -> void;
   auto CommitClaim(const LeaseResult& granted, std::int64_t epoch,
                    std::int64_t epoch_revision) -> void;
   auto RenewLease() -> void;
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -255,6 +255,31 @@
   BOOST_TEST(candidate.election_.owner().instance_ == "x");
 }
 
+// Guards against: a fleet without an owner until the watch returns, because the
+// owner that was to be replaced has left, or a call of the claim has failed.
+BOOST_AUTO_TEST_CASE(a_claim_that_could_not_be_made_is_repeated) {
+  Record removed;
+  removed.key_ = kOwnerKey;
+  removed.revision_ = 30;
+  removed.is_removed_ = true;
+  {
+    Candidate candidate;
+    candidate.store_.Await("read ls/owner")
+        .read_(Found({OwnerRecord("x", 20)}, 20));
+    candidate.election_.OnOwnerConnectionRefused();
+    candidate.store_.Await("watch ls/owner").read_(Found({removed}, 30));
+    const auto claim = candidate.AwaitClaim();
+    BOOST_TEST(claim.transaction_.conditions_[1].revision_ == 0);
+  }
+  {
+    Candidate candidate;
+    candidate.store_.Await("read ls/owner").read_(Absent(10));
+    candidate.store_.Await("grant").lease_({StoreStatus::kRefused, 0, 0, 0});
+    candidate.store_.Await("read ls/epoch").read_(Found({}, 9));
+    candidate.AwaitClaim();
+  }
+}
+
 // Guards against: an ended job that is deleted while the inbox is read again
 // comes back as a new one, and its tasks run once more.
 BOOST_AUTO_TEST_CASE(a_deleted_job_does_not_come_back_with_a_late_read) {
