Cancel only the job that the cancellation was sent for

Callers saw: nothing yet; found by going through writes that are carried out late. A cancellation that got 504 and was written after its job had ended and been deleted stayed in the store for ever; a later job of that ID would be cancelled at its acceptance. Cause: the cancellation was written under no condition. Evidence: a_cancellation_holds_for_the_job_that_was_found before the change, 5 of 5 runs: check call.transaction_.conditions_.size() == 1U has failed [0 != 1] Change: it is written under the revision at which the job's record was read. If the job has been deleted meanwhile, the client gets 410. Result: the case passes.

--- a/fleet/client_api.cc
+++ b/fleet/client_api.cc
@@ -246,15 +246,18 @@
       Refuse(reply, 503, id, "the store refuses");
       return;
     }
-    CommitCancel(id, BootMs() + kCommitTimeoutMs, reply);
+    CommitCancel(id, job.records_[0].revision_, BootMs() + kCommitTimeoutMs,
+                 reply);
   });
 }
 
-auto ClientApi::CommitCancel(const std::string& id, Millis deadline_ms,
-                             Reply reply) -> void {
+auto ClientApi::CommitCancel(const std::string& id, std::int64_t job_revision,
+                             Millis deadline_ms, Reply reply) -> void {
   Transaction transaction;
+  // A write that is carried out late must not cancel a later job of that ID.
+  transaction.conditions_ = {{JobKey(id), job_revision}};
   transaction.puts_ = {{CancelKey(id), "{}", 0}};
-  store_->Commit(transaction, [this, id, deadline_ms,
+  store_->Commit(transaction, [this, id, job_revision, deadline_ms,
                                reply](const CommitResult& result) {
     if (result.status_ == StoreStatus::kOk) {
       LogEvent(Event::kFleetCancelAccepted,
@@ -263,15 +266,19 @@
       owner_.notify_cancel_(id);
       return;
     }
+    if (result.status_ == StoreStatus::kConflict) {
+      Refuse(reply, 410, id, "the job was deleted");
+      return;
+    }
     if (BootMs() >= deadline_ms) {
       Refuse(reply, result.status_ == StoreStatus::kRefused ? 503 : 504, id,
              "no answer from the store");
       return;
     }
     RunAfter(loop_, kCommitRetryMs,
-             [this, id, deadline_ms, reply, alive = is_alive_] {
+             [this, id, job_revision, deadline_ms, reply, alive = is_alive_] {
                if (*alive) {
-                 CommitCancel(id, deadline_ms, reply);
+                 CommitCancel(id, job_revision, deadline_ms, reply);
                }
              });
   });
--- a/fleet/client_api.h
+++ b/fleet/client_api.h
@@ -89,8 +89,9 @@
   auto ReplyWithState(const std::string& id, Reply reply) -> void;
   auto ReplyWithStoredState(const std::string& id, Reply reply) -> void;
   auto CancelJob(const std::string& id, Reply reply) -> void;
-  auto CommitCancel(const std::string& id, Millis deadline_ms, Reply reply)
-      -> void;
+  // Stores the cancellation of the job whose record has `job_revision`.
+  auto CommitCancel(const std::string& id, std::int64_t job_revision,
+                    Millis deadline_ms, Reply reply) -> void;
   auto ReplyWithPending(const Queue& queue, Reply reply) -> void;
   // Returns true if a write got no answer and the store has answered no
   // configuration call sent since.
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -11,13 +11,16 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "fleet/client_api.h"
 #include "fleet/dispatcher.h"
 #include "fleet/election.h"
 #include "fleet/store_keys.h"
 #include "lentilscale/http_client.h"
+#include "lentilscale/http_server.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
 #include "platform/documents.h"
@@ -164,6 +167,68 @@
   }
 };
 
+// The API for clients on a store that is answered by hand and without an owner.
+struct Api {
+  ScriptedStore store_;
+  FleetMetrics metrics_;
+  ConfigWatcher config_{uv_default_loop(), &store_, "cfg",
+                        [](const std::string &) -> absl::StatusOr<FleetConfig> {
+                          FleetConfig config;
+                          config.version_ = 1;
+                          config.queues_.resize(1);
+                          config.queues_[0].name_ = "q";
+                          config.queues_[0].host_ = "h.example";
+                          config.queues_[0].prefix_ = "/q/";
+                          config.queues_[0].is_public_ = true;
+                          return config;
+                        }};
+  ClientApi api_{uv_default_loop(),
+                 &store_,
+                 &config_,
+                 {platform::ParseJob, platform::FormatState,
+                  platform::FormatPending, platform::FormatError},
+                 {[](const JobRecord &) {}, [](const std::string &) {},
+                  [](const std::string &, const auto &callback) {
+                    callback(std::nullopt);
+                  },
+                  [](const std::string &, const auto &callback) {
+                    callback(std::nullopt);
+                  },
+                  [](Millis) { return false; }},
+                 10 * kPatienceMs,
+                 &metrics_};
+  std::unique_ptr<HttpServer> server_ = *HttpServer::Listen(
+      uv_default_loop(), "127.0.0.1", 0, {},
+      [this](const HttpRequest &request, std::shared_ptr<HttpReply> reply) {
+        api_.Handle(request, std::move(reply));
+      });
+  HttpClient client_{uv_default_loop(), HttpClient::Options{}};
+
+  Api() {
+    SetLogLevel(LogLevel::kError);
+    store_.Await("read cfg")
+        .read_({StoreStatus::kOk, {{"cfg", "", 5}}, 5, BootMs()});
+  }
+
+  // Sends a request for the job; its status is set when the answer arrives.
+  auto Send(const std::string &method, const std::string &id,
+            const std::string &body = "")
+      -> std::shared_ptr<std::optional<int>> {
+    auto status = std::make_shared<std::optional<int>>();
+    client_.Send(
+        {fmt::format("127.0.0.1:{}", server_->port()),
+         method,
+         "/q/" + id,
+         body,
+         "",
+         kPatienceMs,
+         {},
+         "h.example"},
+        [status](const HttpResult &result) { *status = result.status_; });
+    return status;
+  }
+};
+
 auto IdOf(int number) -> std::string { return fmt::format("{:016x}", number); }
 
 auto JobText(const std::string &id, std::size_t spec_bytes = 10)
@@ -303,6 +368,24 @@
   BOOST_TEST((owner.dispatcher_.GetJobState(IdOf(2)) == JobState::kQueued));
 }
 
+// Guards against: a cancellation that the store carries out late applies to a
+// later job of the same id.
+BOOST_AUTO_TEST_CASE(a_cancellation_holds_for_the_job_that_was_found) {
+  Api api;
+  const auto status = api.Send("DELETE", IdOf(1));
+  api.store_.Await("read " + JobKey(IdOf(1)))
+      .read_(Found({JobEntry(1, 10)}, 20));
+  for (const auto answer : {StoreStatus::kUnknown, StoreStatus::kConflict}) {
+    const auto call = api.store_.Await("commit");
+    BOOST_REQUIRE_EQUAL(call.transaction_.conditions_.size(), 1U);
+    BOOST_TEST(call.transaction_.conditions_[0].key_ == JobKey(IdOf(1)));
+    BOOST_TEST(call.transaction_.conditions_[0].revision_ == 10);
+    call.commit_({answer, 0, {}});
+  }
+  BOOST_REQUIRE(RunUntil([&] { return status->has_value(); }));
+  BOOST_TEST(**status == 410);
+}
+
 // Guards against: a job is accepted, but no owner can read its record or it
 // runs with another text.
 BOOST_AUTO_TEST_CASE(what_is_accepted_can_be_read_back) {
