--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -386,6 +386,65 @@
   BOOST_TEST(**status == 410);
 }
 
+// Guards against: a client is told that a job was not accepted, while a write
+// of it may still be carried out.
+BOOST_AUTO_TEST_CASE(a_refusal_means_that_no_write_can_follow) {
+  using enum StoreStatus;
+  struct Case {
+    std::vector<StoreStatus> answers_;
+    int status_;
+  };
+  const std::vector<Case> cases = {{{kOk}, 200},
+                                   {{kConflict}, 200},
+                                   {{kRefused}, 503},
+                                   {{kUnknown, kConflict}, 200},
+                                   {{kUnknown, kRefused, kOk}, 200},
+                                   {{kUnknown, kRefused, kConflict}, 200}};
+  for (const auto &c : cases) {
+    BOOST_TEST_CONTEXT(c.answers_.size() << " answers, then " << c.status_) {
+      Api api;
+      const auto status =
+          api.Send("POST", IdOf(1), R"({"spec":"x","steps":[{"count":1}]})");
+      for (const auto answer : c.answers_) {
+        const auto call = api.store_.Await("commit");
+        BOOST_TEST(call.transaction_.conditions_[0].revision_ == 0);
+        call.commit_({answer, 30, {}});
+      }
+      BOOST_REQUIRE(RunUntil([&] { return status->has_value(); }));
+      BOOST_TEST(**status == c.status_);
+    }
+  }
+}
+
+// Guards against: 410 for a job that the store may hold.
+BOOST_AUTO_TEST_CASE(only_an_absent_record_makes_a_job_unknown) {
+  using enum StoreStatus;
+  struct Case {
+    StoreStatus job_;
+    StoreStatus progress_;
+    int status_;
+  };
+  const std::vector<Case> cases = {{kAbsent, kOk, 410},   {kRefused, kOk, 503},
+                                   {kUnknown, kOk, 503},  {kOk, kRefused, 503},
+                                   {kOk, kUnknown, 503},  {kOk, kAbsent, 200},
+                                   {kCompacted, kOk, 503}};
+  for (const auto &c : cases) {
+    BOOST_TEST_CONTEXT(StoreStatusName(c.job_)
+                       << ", " << StoreStatusName(c.progress_)) {
+      Api api;
+      const auto status = api.Send("GET", IdOf(1));
+      api.store_.Await("read " + JobKey(IdOf(1)))
+          .read_({c.job_, {JobEntry(1, 10)}, 20, 0});
+      if (c.job_ == kOk) {
+        api.store_.Await("read " + ProgressKey(IdOf(1)))
+            .read_({c.progress_, {}, 20, 0});
+      }
+      BOOST_REQUIRE(RunUntil([&] { return status->has_value(); }));
+      BOOST_TEST(**status == c.status_);
+    }
+  }
+}
+
 // Guards against: a job is accepted, but no owner can read its record or it
 // runs with another text.
 BOOST_AUTO_TEST_CASE(what_is_accepted_can_be_read_back) {
