Test whole fleets whose store is harassed

Twelve small fleets by seed, each of three instances with a way to the store of its own, which refuses or is silent for a while. The store also loses answers, writes up to 3 s late and drops its history, and instances are replaced. Every accepted job has to end, none may be unknown or given up, and none that was refused may run. The emulator's entrances can be silent.

--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -4,14 +4,18 @@
 
 #define BOOST_TEST_MODULE fleet_store
 #include <fmt/format.h>
+#include <signal.h>
 #include <uv.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +29,8 @@
 #include "lentilscale/timer.h"
 #include "platform/documents.h"
 #include "platform/kv_store.h"
+#include "platform/platform_node.h"
+#include "testing/free_address_stand_in.h"
 #include "testing/platform_emulator_stand_in.h"
 
 namespace lentilscale::fleet {
@@ -32,8 +38,11 @@
 
 // Cases wait for conditions; this bounds a case that never gets there.
 constexpr Millis kPatienceMs = 20000;
+// Fleets whose store is harassed, all at once.
+constexpr auto kFirstSeed = 1U;
+constexpr auto kFleets = 12U;
 
-auto RunUntil(const std::function<bool()> &condition) -> bool {
+auto RunUntil(const std::function<bool()>& condition) -> bool {
   const auto until = MonotonicMs() + kPatienceMs;
   RepeatingTimer waker(uv_default_loop(), 5, [] {});
   while (!condition() && MonotonicMs() < until) {
@@ -54,18 +63,18 @@
     LeaseCallback lease_;
   };
 
-  auto Read(const std::string &key, ReadCallback callback) -> void override {
+  auto Read(const std::string& key, ReadCallback callback) -> void override {
     calls_.push_back({"read " + key, {}, std::move(callback), {}, {}});
   }
-  auto ReadPrefix(const std::string &prefix, ReadCallback callback)
+  auto ReadPrefix(const std::string& prefix, ReadCallback callback)
       -> void override {
     calls_.push_back({"range " + prefix, {}, std::move(callback), {}, {}});
   }
-  auto Watch(const std::string &prefix, std::int64_t, Millis,
+  auto Watch(const std::string& prefix, std::int64_t, Millis,
              ReadCallback callback) -> void override {
     calls_.push_back({"watch " + prefix, {}, std::move(callback), {}, {}});
   }
-  auto Commit(const Transaction &transaction, CommitCallback callback)
+  auto Commit(const Transaction& transaction, CommitCallback callback)
       -> void override {
     calls_.push_back({"commit", transaction, {}, std::move(callback), {}});
   }
@@ -76,10 +85,10 @@
   auto RevokeLease(std::int64_t) -> void override {}
 
   // Waits for a call and takes it off the list.
-  auto Await(const std::string &name) -> Call {
+  auto Await(const std::string& name) -> Call {
     const auto find = [&] {
       return std::find_if(calls_.begin(), calls_.end(),
-                          [&](const Call &call) { return call.name_ == name; });
+                          [&](const Call& call) { return call.name_ == name; });
     };
     BOOST_REQUIRE_MESSAGE(RunUntil([&] { return find() != calls_.end(); }),
                           "no call: " << name);
@@ -101,7 +110,7 @@
   return {StoreStatus::kAbsent, {}, revision, BootMs()};
 }
 
-auto OwnerRecord(const std::string &instance, std::int64_t revision) -> Record {
+auto OwnerRecord(const std::string& instance, std::int64_t revision) -> Record {
   return {
       kOwnerKey,
       fmt::format(R"({{"instance":"{}","address":"a:1","epoch":4}})", instance),
@@ -114,7 +123,7 @@
       uv_default_loop(),
       &store_,
       {"i", "i:1", 1500, 0},
-      {[](const OwnerClaim &) {}, [](const std::string &) {}, [] {}}};
+      {[](const OwnerClaim&) {}, [](const std::string&) {}, [] {}}};
 
   Candidate() { SetLogLevel(LogLevel::kError); }
 
@@ -128,15 +137,15 @@
 
 class IdleGateway : public WorkerGateway, public AdviceGateway {
  public:
-  auto Start(const WorkerEntry &, const StartOrder &, OrderCallback)
+  auto Start(const WorkerEntry&, const StartOrder&, OrderCallback)
       -> void override {}
-  auto Stop(const WorkerEntry &, const RunRef &, std::int64_t, OrderCallback)
+  auto Stop(const WorkerEntry&, const RunRef&, std::int64_t, OrderCallback)
       -> void override {}
-  auto Hold(const WorkerEntry &, const HoldOrder &, HoldCallback)
+  auto Hold(const WorkerEntry&, const HoldOrder&, HoldCallback)
       -> void override {}
-  auto Pace(const WorkerEntry &, const RunRef &, int, std::int64_t,
-            OrderCallback) -> void override {}
-  auto RequestAdvice(const std::string &, const std::vector<std::string> &,
+  auto Pace(const WorkerEntry&, const RunRef&, int, std::int64_t, OrderCallback)
+      -> void override {}
+  auto RequestAdvice(const std::string&, const std::vector<std::string>&,
                      Millis, Callback) -> void override {}
 };
 
@@ -147,13 +156,13 @@
   FleetMetrics metrics_;
   Dispatcher dispatcher_;
 
-  explicit NewOwner(RecordStore *store, Millis status_retention_ms = 120000)
+  explicit NewOwner(RecordStore* store, Millis status_retention_ms = 120000)
       : dispatcher_(uv_default_loop(), store, &gateway_, &advice_, &metrics_,
                     {2, 7, BootMs()}, MakeOptions(status_retention_ms),
-                    {[] { return true; }, [](const std::string &) {},
+                    {[] { return true; }, [](const std::string&) {},
                      [] { return std::make_shared<const FleetConfig>(); },
-                     [](const std::string &,
-                        const std::string &) -> absl::StatusOr<WorkerEntry> {
+                     [](const std::string&,
+                        const std::string&) -> absl::StatusOr<WorkerEntry> {
                        return absl::InvalidArgumentError("no worker");
                      }}) {
     SetLogLevel(LogLevel::kError);
@@ -172,7 +181,7 @@
   ScriptedStore store_;
   FleetMetrics metrics_;
   ConfigWatcher config_{uv_default_loop(), &store_, "cfg",
-                        [](const std::string &) -> absl::StatusOr<FleetConfig> {
+                        [](const std::string&) -> absl::StatusOr<FleetConfig> {
                           FleetConfig config;
                           config.version_ = 1;
                           config.queues_.resize(1);
@@ -182,24 +191,21 @@
                           config.queues_[0].is_public_ = true;
                           return config;
                         }};
-  ClientApi api_{uv_default_loop(),
-                 &store_,
-                 &config_,
-                 {platform::ParseJob, platform::FormatState,
-                  platform::FormatPending, platform::FormatError},
-                 {[](const JobRecord &) {}, [](const std::string &) {},
-                  [](const std::string &, const auto &callback) {
-                    callback(std::nullopt);
-                  },
-                  [](const std::string &, const auto &callback) {
-                    callback(std::nullopt);
-                  },
-                  [](Millis) { return false; }},
-                 10 * kPatienceMs,
-                 &metrics_};
+  ClientApi api_{
+      uv_default_loop(),
+      &store_,
+      &config_,
+      {platform::ParseJob, platform::FormatState, platform::FormatPending,
+       platform::FormatError},
+      {[](const JobRecord&) {}, [](const std::string&) {},
+       [](const std::string&, const auto& callback) { callback(std::nullopt); },
+       [](const std::string&, const auto& callback) { callback(std::nullopt); },
+       [](Millis) { return false; }},
+      10 * kPatienceMs,
+      &metrics_};
   std::unique_ptr<HttpServer> server_ = *HttpServer::Listen(
       uv_default_loop(), "127.0.0.1", 0, {},
-      [this](const HttpRequest &request, std::shared_ptr<HttpReply> reply) {
+      [this](const HttpRequest& request, std::shared_ptr<HttpReply> reply) {
         api_.Handle(request, std::move(reply));
       });
   HttpClient client_{uv_default_loop(), HttpClient::Options{}};
@@ -211,8 +217,8 @@
   }
 
   // Sends a request for the job; its status is set when the answer arrives.
-  auto Send(const std::string &method, const std::string &id,
-            const std::string &body = "")
+  auto Send(const std::string& method, const std::string& id,
+            const std::string& body = "")
       -> std::shared_ptr<std::optional<int>> {
     auto status = std::make_shared<std::optional<int>>();
     client_.Send(
@@ -224,14 +230,14 @@
          kPatienceMs,
          {},
          "h.example"},
-        [status](const HttpResult &result) { *status = result.status_; });
+        [status](const HttpResult& result) { *status = result.status_; });
     return status;
   }
 };
 
 auto IdOf(int number) -> std::string { return fmt::format("{:016x}", number); }
 
-auto JobText(const std::string &id, std::size_t spec_bytes = 10)
+auto JobText(const std::string& id, std::size_t spec_bytes = 10)
     -> std::string {
   JobRecord job;
   job.id_ = id;
@@ -251,7 +257,7 @@
 // Guards against: nobody claims, because the claim expects no owner record
 // while one that cannot be read is there.
 BOOST_AUTO_TEST_CASE(an_unreadable_owner_record_is_replaced_by_a_claim) {
-  for (const auto *text : {"{", "{}", R"({"instance":"x","address":"a:1"})"}) {
+  for (const auto* text : {"{", "{}", R"({"instance":"x","address":"a:1"})"}) {
     BOOST_TEST_CONTEXT(text) {
       Candidate candidate;
       candidate.store_.Await("read ls/owner")
@@ -400,7 +406,7 @@
                                    {{kUnknown, kConflict}, 200},
                                    {{kUnknown, kRefused, kOk}, 200},
                                    {{kUnknown, kRefused, kConflict}, 200}};
-  for (const auto &c : cases) {
+  for (const auto& c : cases) {
     BOOST_TEST_CONTEXT(c.answers_.size() << " answers, then " << c.status_) {
       Api api;
       const auto status =
@@ -428,7 +434,7 @@
                                    {kUnknown, kOk, 503},  {kOk, kRefused, 503},
                                    {kOk, kUnknown, 503},  {kOk, kAbsent, 200},
                                    {kCompacted, kOk, 503}};
-  for (const auto &c : cases) {
+  for (const auto& c : cases) {
     BOOST_TEST_CONTEXT(StoreStatusName(c.job_)
                        << ", " << StoreStatusName(c.progress_)) {
       Api api;
@@ -449,8 +455,8 @@
 // runs with another text.
 BOOST_AUTO_TEST_CASE(what_is_accepted_can_be_read_back) {
   struct Case {
-    const char *spec_;
-    const char *step_;
+    const char* spec_;
+    const char* step_;
   };
   const std::vector<Case> cases = {
       {"plain", R"("estimate_ms":700)"},
@@ -468,7 +474,7 @@
       {"x", R"("may_miss":-1)"},
   };
   auto accepted = 0;
-  for (const auto &c : cases) {
+  for (const auto& c : cases) {
     BOOST_TEST_CONTEXT(c.spec_ << " " << c.step_) {
       const auto job = platform::ParseJob(fmt::format(
           R"({{"spec":"{}","steps":[{{"count":2,{}}}]}})", c.spec_, c.step_));
@@ -497,7 +503,7 @@
   };
   const std::vector<Case> cases = {
       {1200, 10, false}, {1200, 10, true}, {700, 4000, false}};
-  for (const auto &c : cases) {
+  for (const auto& c : cases) {
     BOOST_TEST_CONTEXT(c.jobs_ << " jobs of " << c.spec_bytes_ << " bytes, "
                                << (c.drops_history_ ? "no history" : "")) {
       testing::EmulatedStore emulated(uv_default_loop());
@@ -511,7 +517,7 @@
         put_job(2 * i + 1);
       }
       auto pages = 0;
-      emulated.SetPageHook([&](const std::string &prefix) {
+      emulated.SetPageHook([&](const std::string& prefix) {
         if (prefix != kInboxPrefix || pages == 2) {
           return;
         }
@@ -542,4 +548,231 @@
   }
 }
 
+// Three instances, each with a way to the store of its own, and three workers.
+class HarassedFleet {
+ public:
+  explicit HarassedFleet(unsigned seed) : seed_(seed), random_(seed) {
+    SetLogLevel(LogLevel::kError);
+    signal(SIGPIPE, SIG_IGN);
+    platform_.store().Put(
+        "op/config",
+        R"({"version":1,"routes":[{"name":"q","host":"h.example","prefix":"/q/",)"
+        R"("service":"s","priority":1,"max_attempts":3,"stretch":2.0,)"
+        R"("target_duration_ms":300,"public":true}],"tenants":[]})");
+    for (auto i = 0; i < kWorkers; ++i) {
+      platform_.AddWorker(fmt::format("i-{}", i), "s", 4000, 0);
+    }
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      platform_.store().AddEntrance();
+      Restart(i);
+    }
+  }
+
+  // Does what is due; returns true once all accepted jobs have ended.
+  auto Advance() -> bool {
+    const auto now = MonotonicMs();
+    const auto has_faults = now < began_ms_ + kFaultsMs;
+    Unblock(now);
+    if (has_faults && now >= next_fault_ms_) {
+      next_fault_ms_ = now + Between(50, 800);
+      CauseFault();
+    }
+    if (has_faults && now >= next_job_ms_) {
+      next_job_ms_ = now + Between(20, 200);
+      Submit();
+    }
+    if (now >= next_question_ms_) {
+      next_question_ms_ = now + 300;
+      AskStates();
+    }
+    return now > began_ms_ + kFaultsMs + kLastAnswersMs &&
+           ended_.size() == accepted_.size();
+  }
+
+  // What went wrong, as sentences.
+  auto violations() -> std::vector<std::string> {
+    auto all = violations_;
+    all.insert(all.end(), platform_.violations().begin(),
+               platform_.violations().end());
+    for (const auto& id : refused_) {
+      if (platform_.StartsOf(id) > 0) {
+        all.push_back(id + " was refused and has run");
+      }
+    }
+    for (const auto& id : accepted_) {
+      if (!ended_.contains(id)) {
+        all.push_back(id + " was accepted and has not ended");
+      }
+    }
+    return all;
+  }
+  auto accepted_count() const -> std::size_t { return accepted_.size(); }
+  auto seed() const -> unsigned { return seed_; }
+
+ private:
+  static constexpr int kNodes = 3;
+  static constexpr int kWorkers = 3;
+  static constexpr Millis kFaultsMs = 8000;
+  // The last requests of the time with faults have been answered by then.
+  static constexpr Millis kLastAnswersMs = 4000;
+
+  // Does something to the store, an instance's way to it or its process.
+  auto CauseFault() -> void {
+    auto& store = platform_.store();
+    const auto node = Between(0, kNodes - 1);
+    const auto mode = Between(0, 1) == 0
+                          ? testing::EmulatedStore::Mode::kSilent
+                          : testing::EmulatedStore::Mode::kRefusing;
+    switch (Between(0, 6)) {
+      case 0:
+      case 1:
+      case 2:
+        store.SetEntranceMode(node, mode);
+        blocked_until_ms_[node] = MonotonicMs() + Between(100, 2500);
+        break;
+      case 3:
+        store.LoseAnswers(Between(1, 4));
+        break;
+      case 4:
+        store.CarryOutLate(Between(1, 4), Between(300, 3000));
+        break;
+      case 5:
+        store.DropHistory();
+        break;
+      default:
+        Restart(node);
+    }
+  }
+
+  auto Unblock(Millis now_ms) -> void {
+    for (auto& [node, until] : blocked_until_ms_) {
+      if (until != 0 && now_ms >= until) {
+        platform_.store().SetEntranceMode(node,
+                                          testing::EmulatedStore::Mode::kUp);
+        until = 0;
+      }
+    }
+  }
+
+  auto Submit() -> void {
+    const auto id = IdOf(static_cast<int>(seed_ << 16) + ++submitted_);
+    platform_.SetDemand(id, 1000, 0);
+    Call("POST", id,
+         R"({"spec":"ms=150","steps":[{"count":3,"cpu":1000},)"
+         R"({"count":2,"cpu":1000,"after":[0]}]})",
+         [this, id](const HttpResult& result) {
+           if (result.status_ == 200) {
+             accepted_.insert(id);
+           } else if (result.status_ == 503) {
+             refused_.insert(id);
+           }
+         });
+  }
+
+  // Asks for the states of the accepted jobs that are not known to have ended.
+  auto AskStates() -> void {
+    for (const auto& id : accepted_) {
+      if (!ended_.contains(id)) {
+        Call("GET", id, "", [this, id](const HttpResult& result) {
+          if (result.status_ == 410) {
+            violations_.push_back(id + " is unknown");
+          } else if (result.body_.find("failed") != std::string::npos ||
+                     result.body_.find("cancelled") != std::string::npos) {
+            violations_.push_back(id + " is given up");
+          } else if (result.body_.find("completed") != std::string::npos) {
+            ended_.insert(id);
+          }
+        });
+      }
+    }
+  }
+
+  auto Between(int low, int high) -> int {
+    return std::uniform_int_distribution<int>(low, high)(random_);
+  }
+
+  // Replaces the process of an instance. The new one has addresses of its own,
+  // since a kill inside this process leaves the old connections open.
+  auto Restart(std::size_t node) -> void {
+    if (nodes_.size() <= node) {
+      nodes_.resize(node + 1);
+      boots_.resize(node + 1);
+    }
+    nodes_[node].reset();
+    auto& boot = boots_[node];
+    boot.node_name_ = fmt::format("node-{}", node);
+    boot.store_address_ = platform_.store().entrance_address(node);
+    boot.advice_address_ = platform_.advice_address();
+    boot.max_stop_ms_ = 200;
+    // Another program may take a free address before it is used.
+    for (auto attempts = 5; nodes_[node] == nullptr && attempts > 0;
+         --attempts) {
+      boot.client_address_ = testing::FreeAddress();
+      boot.peer_address_ = testing::FreeAddress();
+      auto created = platform::PlatformNode::Create(uv_default_loop(), boot);
+      if (created.ok()) {
+        nodes_[node] = *std::move(created);
+      }
+    }
+    BOOST_REQUIRE(nodes_[node] != nullptr);
+  }
+
+  auto Call(const std::string& method, const std::string& id,
+            const std::string& body, HttpClient::Callback callback) -> void {
+    const auto& boot = boots_[static_cast<std::size_t>(Between(0, kNodes - 1))];
+    client_.Send({boot.client_address_,
+                  method,
+                  "/q/" + id,
+                  body,
+                  "",
+                  3000,
+                  {},
+                  "h.example"},
+                 std::move(callback));
+  }
+
+  unsigned seed_;
+  std::mt19937 random_;
+  Millis began_ms_ = MonotonicMs();
+  Millis next_fault_ms_ = began_ms_ + 500;
+  Millis next_job_ms_ = began_ms_;
+  Millis next_question_ms_ = began_ms_;
+  testing::PlatformEmulator platform_{uv_default_loop()};
+  HttpClient client_{uv_default_loop(), HttpClient::Options{}};
+  std::vector<platform::BootFile> boots_;
+  std::vector<std::unique_ptr<platform::PlatformNode>> nodes_;
+  std::map<std::size_t, Millis> blocked_until_ms_;
+  int submitted_ = 0;
+  std::set<std::string> accepted_;
+  std::set<std::string> refused_;
+  std::set<std::string> ended_;
+  std::vector<std::string> violations_;
+};
+
+// Guards against: an accepted job is lost, shown wrong or run twice while the
+// store serves some instances only, loses answers and writes late.
+BOOST_AUTO_TEST_CASE(accepted_jobs_end_whatever_the_store_does) {
+  std::vector<std::unique_ptr<HarassedFleet>> fleets;
+  for (auto seed = kFirstSeed; seed < kFirstSeed + kFleets; ++seed) {
+    fleets.push_back(std::make_unique<HarassedFleet>(seed));
+  }
+  RunUntil([&] {
+    auto is_over = true;
+    for (auto& fleet : fleets) {
+      is_over &= fleet->Advance();
+    }
+    return is_over;
+  });
+  std::size_t accepted = 0;
+  for (auto& fleet : fleets) {
+    accepted += fleet->accepted_count();
+    BOOST_TEST_CONTEXT("seed " << fleet->seed()) {
+      for (const auto& violation : fleet->violations()) {
+        BOOST_ERROR(violation);
+      }
+    }
+  }
+  BOOST_TEST(accepted > 10U * kFleets);
+}
+
 }  // namespace lentilscale::fleet
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -82,8 +82,11 @@
   auto [server, address] =
       Listen(loop_, [this, number](const HttpRequest& request,
                                    const std::shared_ptr<HttpReply>& reply) {
-        if (entrances_[number].is_refusing_) {
+        const auto mode = entrances_[number].mode_;
+        if (mode == Mode::kRefusing) {
           reply->Send(503, "{}");
+        } else if (mode == Mode::kSilent) {
+          unanswered_.push_back(reply);
         } else {
           Handle(request, reply);
         }
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -48,7 +48,10 @@
     return entrances_[entrance].address_;
   }
   auto SetEntranceRefusing(std::size_t entrance, bool is_refusing) -> void {
-    entrances_[entrance].is_refusing_ = is_refusing;
+    SetEntranceMode(entrance, is_refusing ? Mode::kRefusing : Mode::kUp);
+  }
+  auto SetEntranceMode(std::size_t entrance, Mode mode) -> void {
+    entrances_[entrance].mode_ = mode;
   }
   // The next `count` transactions are carried out and not answered.
   auto LoseAnswers(int count) -> void { answers_to_lose_ = count; }
@@ -117,7 +120,7 @@
   uv_loop_t* loop_;
   struct Entrance {
     std::string address_;
-    bool is_refusing_ = false;
+    Mode mode_ = Mode::kUp;
     std::unique_ptr<HttpServer> server_;
   };
   std::vector<Entrance> entrances_;
