--- a/fleet/election.h
+++ b/fleet/election.h
@@ -105,9 +105,14 @@
   // Reads the owner record once after a delay; leaves the watch as it is.
   auto ScheduleOwnerRead() -> void;
   auto WatchOwner() -> void;
-  auto ApplyOwnerRecord(const Record& record) -> void;
+  // Applies the owner record as of the store's `revision`, unless a later state
+  // is known: answers may overtake each other. 0 means an unknown revision.
+  auto ApplyOwnerRecord(const Record& record, std::int64_t revision) -> void;
   auto ScheduleClaim(Millis delay_ms) -> void;
   auto Claim() -> void;
+  // Ends a claim that was not sent. If there is no owner, another one follows
+  // after `retry_ms`.
+  auto AbandonClaim(Millis retry_ms) -> void;
   auto CommitClaim(const LeaseResult& granted, std::int64_t epoch,
                    std::int64_t epoch_revision) -> void;
   auto RenewLease() -> void;
@@ -118,6 +123,8 @@
   Options options_;
   Hooks hooks_;
   Owner owner_;
+  // The store's revision that owner_ reflects.
+  std::int64_t owner_known_revision_ = 0;
   // The last two owners that this instance read of, the latest at the back.
   std::array<Owner, 2> last_owners_;
   Owner previous_owner_;
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -48,7 +48,10 @@
     return entrances_[entrance].address_;
   }
   auto SetEntranceRefusing(std::size_t entrance, bool is_refusing) -> void {
-    entrances_[entrance].is_refusing_ = is_refusing;
+    SetEntranceMode(entrance, is_refusing ? Mode::kRefusing : Mode::kUp);
+  }
+  auto SetEntranceMode(std::size_t entrance, Mode mode) -> void {
+    entrances_[entrance].mode_ = mode;
   }
   // The next `count` transactions are carried out and not answered.
   auto LoseAnswers(int count) -> void { answers_to_lose_ = count; }
@@ -58,6 +61,10 @@
     late_transactions_ = count;
     late_ms_ = delay_ms;
   }
+  // `hook` runs after each page of a range has been read, with its prefix.
+  auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
+    page_hook_ = std::move(hook);
+  }
   // Forgets all history, so that watches must read anew.
   auto DropHistory() -> void;
 
@@ -113,7 +120,7 @@
   uv_loop_t* loop_;
   struct Entrance {
     std::string address_;
-    bool is_refusing_ = false;
+    Mode mode_ = Mode::kUp;
     std::unique_ptr<HttpServer> server_;
   };
   std::vector<Entrance> entrances_;
@@ -122,6 +129,7 @@
   int answers_to_lose_ = 0;
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
+  std::function<void(const std::string&)> page_hook_;
   std::int64_t revision_ = 1;
   std::int64_t first_kept_ = 1;
   std::int64_t next_lease_ = 100;
