--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -197,7 +197,7 @@
       &config_,
       {platform::ParseJob, platform::FormatState, platform::FormatPending,
        platform::FormatError},
-      {[](const JobRecord&) {}, [](const std::string&) {},
+      {[](const JobRecord&, std::int64_t) {}, [](const std::string&) {},
        [](const std::string&, const auto& callback) { callback(std::nullopt); },
        [](const std::string&, const auto& callback) { callback(std::nullopt); },
        [](Millis) { return false; }},
