Ignore a reload request while the process is still starting

What was seen: a process that got SIGHUP before its handler was installed ended with that signal, and clients found its port closed until it was started again. A SIGHUP is a reload that changes nothing; a process that is being restarted when the settings change is killed by it.

Cause: RunOnPlatform() installed the handler last, after the boot file was read and the ports were taken, and the default action of SIGHUP ends a process.

What remains is the time between exec and the first line of main, which the program cannot cover.

The other mode keeps the default action: it has no reload, and a closed terminal is to end it.

--- a/cmd/lentild.cc
+++ b/cmd/lentild.cc
@@ -89,6 +89,9 @@
   using lentilscale::platform::BootFile;
   using lentilscale::platform::PlatformNode;
   signal(SIGPIPE, SIG_IGN);
+  // A reload may be requested before its handler is installed; the default
+  // action would end the process.
+  signal(SIGHUP, SIG_IGN);
   lentilscale::SetLogTarget(lentilscale::LogTarget::kStandardOutput);
   const auto* boot_path = std::getenv(lentilscale::platform::kBootFileEnvVar);
   if (boot_path == nullptr) {
