Keep the signal handles until the process has ended

What was seen: a lentild that got another SIGTERM or a SIGHUP while it exited ended with SIGSEGV instead of code 0; one that got SIGTERM between taking its ports and installing the handlers ended at once, without the drain that its open ports had promised.

Cause: the uv_signal_t were locals of the function that runs the loop. libuv's handler runs in the signal's context and walks a tree whose nodes lie in the handles, so after the return it read a dead stack frame until the process was gone.

Evidence: the new test sends both signals until the process has ended.

The handles are static now, and on the platform they are installed before the ports are taken; handlers run in the loop only, that is, after the node exists.

--- a/cmd/lentild.cc
+++ b/cmd/lentild.cc
@@ -16,6 +16,7 @@
 #include <signal.h>
 #include <uv.h>
 
+#include <array>
 #include <string>
 
 #include "lentilscale/command_line.h"
@@ -85,6 +86,8 @@
   lentilscale::LogEvent(lentilscale::Event::kReloadIgnored, {});
 }
 
+// The signal handles are static: libuv's signal handler reads them also while
+// the process exits.
 auto RunOnPlatform() -> int {
   using lentilscale::platform::BootFile;
   using lentilscale::platform::PlatformNode;
@@ -105,21 +108,24 @@
     return kExitBadSettings;
   }
   auto* loop = uv_default_loop();
+  // Installed before the ports are taken; the handlers run in the loop only.
+  static std::array<uv_signal_t, 3> signals;
+  const std::array<std::pair<int, uv_signal_cb>, 3> handlers = {
+      {{SIGTERM, OnPlatformTerminationSignal},
+       {SIGINT, OnPlatformTerminationSignal},
+       {SIGHUP, OnHangup}}};
+  for (std::size_t i = 0; i < signals.size(); ++i) {
+    uv_signal_init(loop, &signals[i]);
+    uv_signal_start(&signals[i], handlers[i].second, handlers[i].first);
+  }
   auto platform = PlatformNode::Create(loop, *boot);
   if (!platform.ok()) {
     fmt::print(stderr, "lentild: {}\n",
                std::string(platform.status().message()));
     return kExitPortTaken;
   }
-  uv_signal_t signals[3];
-  const std::pair<int, uv_signal_cb> handlers[3] = {
-      {SIGTERM, OnPlatformTerminationSignal},
-      {SIGINT, OnPlatformTerminationSignal},
-      {SIGHUP, OnHangup}};
-  for (auto i = 0; i < 3; ++i) {
-    uv_signal_init(loop, &signals[i]);
-    signals[i].data = platform->get();
-    uv_signal_start(&signals[i], handlers[i].second, handlers[i].first);
+  for (auto& signal : signals) {
+    signal.data = platform->get();
   }
   uv_run(loop, UV_RUN_DEFAULT);
   // Open handles still point to the node, so it must not be destroyed. Process
@@ -136,9 +142,9 @@
     fmt::print(stderr, "lentild: {}\n", std::string(node.status().message()));
     return kExitPortTaken;
   }
-  uv_signal_t signals[2];
-  const int numbers[2] = {SIGTERM, SIGINT};
-  for (auto i = 0; i < 2; ++i) {
+  static std::array<uv_signal_t, 2> signals;
+  const std::array<int, 2> numbers = {SIGTERM, SIGINT};
+  for (std::size_t i = 0; i < signals.size(); ++i) {
     uv_signal_init(loop, &signals[i]);
     signals[i].data = node->get();
     uv_signal_start(&signals[i], OnTerminationSignal, numbers[i]);
--- a/testing/lentild_test.cc
+++ b/testing/lentild_test.cc
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE lentild
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/stat.h>
@@ -12,6 +13,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <string>
 
 #include "testing/free_address_stand_in.h"
@@ -47,10 +49,17 @@
 }
 
 // Returns true once the daemon has written `text`, false if it ends first.
-auto WaitForOutput(const Daemon& daemon, const std::string& text) -> bool {
+// Sends `signal`, if any, until then.
+auto WaitForOutput(const Daemon& daemon, const std::string& text,
+                   int signal = 0) -> bool {
   std::string out;
   char buffer[4096];
   while (out.find(text) == std::string::npos) {
+    kill(daemon.pid_, signal);
+    pollfd output{daemon.output_, POLLIN, 0};
+    if (poll(&output, 1, 10) == 0) {
+      continue;
+    }
     const auto got = read(daemon.output_, buffer, sizeof(buffer));
     if (got <= 0) {
       return false;
@@ -60,8 +69,38 @@
   return true;
 }
 
+// Nothing answers at the store's address.
+auto BootText() -> std::string {
+  return fmt::format(
+      "listen:\n  frontend: {}\n  control: {}\nplatform:\n  address: {}\n",
+      FreeAddress(), FreeAddress(), FreeAddress());
+}
+
 }  // namespace
 
+// Guards against a crash at the end: a signal that comes again then.
+BOOST_AUTO_TEST_CASE(signals_during_the_exit_do_not_change_its_status) {
+  auto pattern =
+      (std::filesystem::temp_directory_path() / "lentild-XXXXXX").string();
+  const std::filesystem::path directory = mkdtemp(pattern.data());
+  const auto boot_path = (directory / "boot.yaml").string();
+  std::ofstream(boot_path) << BootText();
+  const auto daemon = StartOnPlatform(boot_path);
+  BOOST_TEST(WaitForOutput(daemon, "name=listening"));
+  // The handlers are installed after that line is written.
+  BOOST_TEST(WaitForOutput(daemon, "name=reload_ignored", SIGHUP));
+  BOOST_REQUIRE_EQUAL(kill(daemon.pid_, SIGTERM), 0);
+  BOOST_TEST(WaitForOutput(daemon, "name=stopped"));
+  auto status = 0;
+  while (waitpid(daemon.pid_, &status, WNOHANG) == 0) {
+    kill(daemon.pid_, SIGTERM);
+    kill(daemon.pid_, SIGHUP);
+  }
+  BOOST_TEST(status == 0);
+  close(daemon.output_);
+  std::filesystem::remove_all(directory);
+}
+
 // Guards against a reload that ends a process which is still starting.
 BOOST_AUTO_TEST_CASE(a_reload_during_the_start_does_not_end_the_process) {
   auto pattern =
@@ -74,9 +113,7 @@
   const auto boot = open(boot_path.c_str(), O_WRONLY);
   BOOST_REQUIRE(boot >= 0);
   BOOST_REQUIRE_EQUAL(kill(daemon.pid_, SIGHUP), 0);
-  const auto text = fmt::format(
-      "listen:\n  frontend: {}\n  control: {}\nplatform:\n  address: {}\n",
-      FreeAddress(), FreeAddress(), FreeAddress());
+  const auto text = BootText();
   signal(SIGPIPE, SIG_IGN);
   (void)!write(boot, text.data(), text.size());
   close(boot);
