Read no request that the ending process cannot answer

What callers saw: a job was submitted to an instance that was stopping, the connection ended without an answer, and the job ran nevertheless.

Cause: Drain() ends the loop from a timer once no request is open. libuv 1.44 runs the timers before it polls, and polls once more after uv_stop(). StopAccepting() did not close idle connections, as its comment said: h2o does nothing about those of HTTP/1. So the last turn of the loop read what clients had sent on kept connections while the turn before was at work, sent the job to the store, and the process ended. A request whose body was still arriving did not count as open and could be read whole there, too.

The server now stops reading a connection when it is idle, sends its end to the client, and the drain waits until no connection can deliver a request or an answer. Requests that are open when the time is up get 504 instead of a broken connection.

--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -39,8 +39,10 @@
 // send new connections elsewhere.
 constexpr Millis kStopAcceptingDelayMs = 3000;
 constexpr Millis kDrainPollIntervalMs = 50;
-// Time reserved between the end of draining and the platform's kill.
+// Time reserved between the last answers and the platform's kill.
 constexpr Millis kExitMarginMs = 700;
+// The part of it in which these answers may still be written.
+constexpr Millis kLastAnswersMs = 300;
 
 auto SplitAddress(const std::string& address) -> std::pair<std::string, int> {
   const auto colon = address.rfind(':');
@@ -387,9 +389,16 @@
   }
   if (elapsed >= kStopAcceptingDelayMs) {
     client_server_->StopAccepting();
-    const auto is_out_of_time =
-        elapsed >= options_.termination_grace_ms_ - kExitMarginMs;
-    if (client_server_->open_requests() == 0 || is_out_of_time) {
+    const auto answer_by_ms = options_.termination_grace_ms_ - kExitMarginMs;
+    if (elapsed >= answer_by_ms) {
+      // The outcome of a submission is unknown to the client, which 503 would
+      // deny.
+      client_server_->AnswerOpenRequests(
+          504, dependencies_.client_api_codec_.encode_error_(
+                   "this instance is stopping"));
+    }
+    if (client_server_->open_connections() == 0 ||
+        elapsed >= answer_by_ms + kLastAnswersMs) {
       LogEvent(
           Event::kStopped,
           {{"open_requests", std::to_string(client_server_->open_requests())}});
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -70,8 +70,8 @@
   auto operator=(const FleetNode&) -> FleetNode& = delete;
 
   // Shuts down gracefully: reports not ready, gives up ownership, completes
-  // open client requests, then calls `done`. Calls `done` with requests still
-  // open if the termination grace period is about to end.
+  // open client requests, then calls `done`. Requests that are still open when
+  // the termination grace period is about to end are answered with 504.
   auto Drain(std::function<void()> done) -> void;
 
  private:
--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -2,13 +2,19 @@
 // reply object that learns of the request's end by a destructor in the
 // request's memory pool; that one hook covers disconnects, timeouts and the
 // normal end, at the cost of one small allocation per request.
+//
+// libuv polls once more after uv_stop(). A process that ends while a connection
+// is still being read can therefore read a request that it never answers;
+// StopAccepting() ends the reading first.
 
 #include "lentilscale/http_server.h"
 
 #include <fmt/format.h>
 #include <h2o.h>
+#include <sys/socket.h>
 
 #include <cstring>
+#include <set>
 
 namespace lentilscale {
 namespace {
@@ -32,14 +38,44 @@
   std::size_t max_header_bytes_;
 };
 
-struct ReplyHook {
+// A connection, reached through the on_close hook of its socket.
+struct Connection {
+  // The connections of the server that are read or have a request.
+  std::set<Connection*>* open_connections_;
+  h2o_socket_t* socket_;
+  // The request that is being answered, if any.
   std::shared_ptr<HttpReply> reply_;
+};
+
+struct ReplyHook {
+  Connection* connection_;
   ServerCounters* counters_;
 };
 
+auto ConnectionOf(const h2o_req_t& req) -> Connection* {
+  auto* socket = req.conn->callbacks->get_socket(req.conn);
+  return static_cast<Connection*>(socket->on_close.data);
+}
+
+auto OnClose(void* data) -> void {
+  auto* connection = static_cast<Connection*>(data);
+  connection->open_connections_->erase(connection);
+  delete connection;
+}
+
+// Tells the client that no answer follows. The socket is closed by h2o's
+// timeout or at the end of the process.
+auto StopReading(Connection* connection) -> void {
+  h2o_socket_read_stop(connection->socket_);
+  shutdown(h2o_socket_get_fd(connection->socket_), SHUT_WR);
+  connection->open_connections_->erase(connection);
+}
+
+// h2o disposes of a request before it closes the request's socket.
 auto DisposeHook(void* data) -> void {
   auto* hook = *static_cast<ReplyHook**>(data);
-  hook->reply_->Detach();
+  hook->connection_->reply_->Detach();
+  hook->connection_->reply_.reset();
   --hook->counters_->open_requests_;
   delete hook;
 }
@@ -137,7 +173,8 @@
   auto reply = std::make_shared<HttpReply>(req);
   auto** slot = static_cast<ReplyHook**>(
       h2o_mem_alloc_shared(&req->pool, sizeof(void*), DisposeHook));
-  *slot = new ReplyHook{reply, handler->counters_};
+  *slot = new ReplyHook{ConnectionOf(*req), handler->counters_};
+  (*slot)->connection_->reply_ = reply;
   ++handler->counters_->open_requests_;
   handler->counters_->bytes_in_ += request.path_.size() + request.body_.size();
   if (HeaderBytes(*req) > handler->max_header_bytes_) {
@@ -224,6 +261,9 @@
   uv_tcp_t* listener_ = nullptr;
   Handler handler_;
   ServerCounters counters_;
+  std::set<Connection*> open_connections_;
+  // Active once the server has stopped accepting.
+  uv_check_t idle_closer_{};
 
   static auto OnConnection(uv_stream_t* listener, int status) -> void {
     if (status != 0) {
@@ -241,9 +281,23 @@
     uv_tcp_nodelay(connection, 1);
     auto* sock =
         h2o_uv_socket_create(stream, reinterpret_cast<uv_close_cb>(free));
+    auto* tracked = new Connection{&core->open_connections_, sock, nullptr};
+    core->open_connections_.insert(tracked);
+    sock->on_close.cb = OnClose;
+    sock->on_close.data = tracked;
     h2o_accept(&core->accept_, sock);
   }
 
+  auto CloseIdleConnections() -> void {
+    for (auto it = open_connections_.begin(); it != open_connections_.end();) {
+      auto* connection = *it++;
+      if (connection->reply_ == nullptr &&
+          connection->socket_->input->size == 0) {
+        StopReading(connection);
+      }
+    }
+  }
+
   auto CloseListener() -> void {
     if (listener_ == nullptr) {
       return;
@@ -295,6 +349,8 @@
   core->accept_.ctx = &core->context_;
   core->accept_.hosts = core->config_.hosts;
 
+  uv_check_init(loop, &core->idle_closer_);
+  core->idle_closer_.data = core.get();
   core->listener_ = new uv_tcp_t;
   uv_tcp_init(loop, core->listener_);
   core->listener_->data = core.get();
@@ -331,9 +387,32 @@
   return core_->counters_.bytes_out_;
 }
 
+auto HttpServer::open_connections() const -> std::size_t {
+  return core_->open_connections_.size();
+}
+
 auto HttpServer::StopAccepting() -> void {
   core_->CloseListener();
   h2o_context_request_shutdown(&core_->context_);
+  core_->CloseIdleConnections();
+  // A connection also becomes idle by the end of its answer; it is closed
+  // before the loop polls again.
+  uv_check_start(&core_->idle_closer_, [](uv_check_t* check) {
+    static_cast<Core*>(check->data)->CloseIdleConnections();
+  });
+  uv_unref(reinterpret_cast<uv_handle_t*>(&core_->idle_closer_));
+}
+
+auto HttpServer::AnswerOpenRequests(int status, const std::string& body)
+    -> void {
+  const auto connections = core_->open_connections_;
+  for (auto* connection : connections) {
+    if (connection->reply_ == nullptr) {
+      StopReading(connection);
+    } else {
+      connection->reply_->Send(status, body);
+    }
+  }
 }
 
 }  // namespace lentilscale
--- a/lentilscale/http_server.h
+++ b/lentilscale/http_server.h
@@ -105,9 +105,18 @@
   // Returns the number of requests that have not been answered yet.
   auto open_requests() const -> std::int64_t;
 
-  // Stops accepting connections and closes idle ones; open requests go on.
+  // Returns the number of connections on which a request may still be read or
+  // answered.
+  auto open_connections() const -> std::size_t;
+
+  // Stops accepting connections and closes idle ones; open requests go on, and
+  // their connections are closed after the answer.
   auto StopAccepting() -> void;
 
+  // Reads nothing any more and answers all open requests. Call StopAccepting()
+  // first.
+  auto AnswerOpenRequests(int status, const std::string& body) -> void;
+
   // Returns bytes received and sent with requests and answers.
   auto bytes_in() const -> std::uint64_t;
   auto bytes_out() const -> std::uint64_t;
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -12,8 +12,10 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace lentilscale {
 namespace {
@@ -79,6 +81,73 @@
   return count;
 }
 
+// A server whose replies the test sends, and its clients on one thread: what
+// they send lies in the server's sockets before its loop turns.
+class StoppingServer {
+ public:
+  StoppingServer() {
+    uv_loop_init(&loop_);
+    server_ = *HttpServer::Listen(
+        &loop_, "127.0.0.1", 0, {},
+        [this](const HttpRequest& request, std::shared_ptr<HttpReply> reply) {
+          read_.push_back(request.path_);
+          replies_.push_back(std::move(reply));
+        });
+  }
+
+  // h2o's connections refer to the loop until the process ends, so it is not
+  // destroyed.
+  static auto Create() -> StoppingServer& { return *new StoppingServer; }
+
+  auto Connect() -> int {
+    const auto fd = socket(AF_INET, SOCK_STREAM, 0);
+    timeval timeout{2, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    sockaddr_in addr{};
+    addr.sin_family = AF_INET;
+    addr.sin_port = htons(static_cast<std::uint16_t>(server_->port()));
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(
+        connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) == 0);
+    Turn();
+    return fd;
+  }
+
+  static auto SendText(int fd, const std::string& text) -> void {
+    BOOST_REQUIRE(send(fd, text.data(), text.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(text.size()));
+  }
+
+  // Returns what has arrived up to the server's end of the connection.
+  static auto ReceiveAll(int fd) -> std::string {
+    std::string out;
+    char buffer[4096];
+    ssize_t count = 0;
+    while ((count = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
+      out.append(buffer, static_cast<std::size_t>(count));
+    }
+    return out + (count == 0 ? "<closed>" : "<open>");
+  }
+
+  auto Turn() -> void {
+    for (auto i = 0; i < 5; ++i) {
+      uv_run(&loop_, UV_RUN_NOWAIT);
+    }
+  }
+
+  auto server() -> HttpServer& { return *server_; }
+  auto replies() -> std::vector<std::shared_ptr<HttpReply>>& {
+    return replies_;
+  }
+  auto read() const -> const std::vector<std::string>& { return read_; }
+
+ private:
+  uv_loop_t loop_;
+  std::unique_ptr<HttpServer> server_;
+  std::vector<std::string> read_;
+  std::vector<std::shared_ptr<HttpReply>> replies_;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(answers_have_a_length_and_keep_the_connection) {
@@ -121,4 +190,88 @@
   BOOST_TEST(answer.ends_with("<closed>"));
 }
 
+// Guards against a request that the last turn of the loop reads after the
+// process has decided to end.
+BOOST_AUTO_TEST_CASE(nothing_is_read_once_the_server_has_stopped) {
+  auto& stopping = StoppingServer::Create();
+  const auto fd = stopping.Connect();
+  StoppingServer::SendText(fd, Get("/late"));
+  stopping.server().StopAccepting();
+  BOOST_TEST(stopping.server().open_requests() == 0);
+  BOOST_TEST(stopping.server().open_connections() == 0U);
+  stopping.Turn();
+  BOOST_TEST(stopping.read().empty());
+  BOOST_TEST(StoppingServer::ReceiveAll(fd) == "<closed>");
+  close(fd);
+}
+
+// Guards against an end of the process between the header and the body of a
+// request or between two requests of one segment.
+BOOST_AUTO_TEST_CASE(open_requests_are_finished_after_the_server_has_stopped) {
+  auto& stopping = StoppingServer::Create();
+  const auto two = stopping.Connect();
+  const auto half = stopping.Connect();
+  StoppingServer::SendText(two, Get("/1") + Get("/2"));
+  StoppingServer::SendText(
+      half, "POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+  stopping.Turn();
+  stopping.server().StopAccepting();
+  BOOST_TEST(stopping.server().open_connections() == 2U);
+  StoppingServer::SendText(half, "cd");
+  stopping.Turn();
+  for (std::size_t i = 0; i < 3; ++i) {
+    BOOST_REQUIRE(stopping.replies().size() > i);
+    stopping.replies()[i]->Send(200, "{}");
+    stopping.Turn();
+  }
+  BOOST_TEST(stopping.server().open_connections() == 0U);
+  for (const auto fd : {two, half}) {
+    const auto answer = StoppingServer::ReceiveAll(fd);
+    BOOST_TEST(CountOf(answer, "HTTP/1.1 200 OK\r\n") == (fd == two ? 2 : 1));
+    BOOST_TEST(answer.ends_with("{}<closed>"));
+    close(fd);
+  }
+}
+
+// Guards against a request that is read on the connection of an answer that was
+// open when the server stopped.
+BOOST_AUTO_TEST_CASE(nothing_is_read_after_the_last_answer) {
+  auto& stopping = StoppingServer::Create();
+  const auto fd = stopping.Connect();
+  StoppingServer::SendText(fd, Get("/1"));
+  stopping.Turn();
+  stopping.server().StopAccepting();
+  stopping.replies().front()->Send(200, "{}");
+  stopping.Turn();
+  StoppingServer::SendText(fd, Get("/2"));
+  stopping.Turn();
+  BOOST_TEST(stopping.server().open_connections() == 0U);
+  BOOST_TEST(stopping.read().size() == 1U);
+  BOOST_TEST(StoppingServer::ReceiveAll(fd).ends_with("{}<closed>"));
+  close(fd);
+}
+
+// Guards against answers that are lost when the grace period is used up.
+BOOST_AUTO_TEST_CASE(requests_without_an_answer_get_the_last_one) {
+  auto& stopping = StoppingServer::Create();
+  const auto whole = stopping.Connect();
+  const auto half = stopping.Connect();
+  StoppingServer::SendText(whole, Get("/whole"));
+  StoppingServer::SendText(half, "GET /half HTTP/1.1\r\n");
+  stopping.Turn();
+  stopping.server().StopAccepting();
+  stopping.server().AnswerOpenRequests(504, "{}");
+  StoppingServer::SendText(half, "Host: h\r\n\r\n");
+  stopping.Turn();
+  BOOST_TEST(stopping.server().open_connections() == 0U);
+  BOOST_TEST(stopping.read().size() == 1U);
+  const auto answer = StoppingServer::ReceiveAll(whole);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 504 Gateway Timeout\r\n"));
+  BOOST_TEST(answer.ends_with("{}<closed>"));
+  BOOST_TEST(StoppingServer::ReceiveAll(half) == "<closed>");
+  stopping.replies().front()->Send(200, "{}");
+  close(whole);
+  close(half);
+}
+
 }  // namespace lentilscale
