Print how soon after being sent the soak's requests were cut

Whether a request was read is known for submissions only; for all others the time from the last byte to the end of the connection bounds it.

--- a/testing/drain_soak_test.cc
+++ b/testing/drain_soak_test.cc
@@ -167,6 +167,7 @@
 // A request whose connection ended without the whole answer.
 struct Cut {
   std::string job_;
+  bool is_submission_;
   Millis sent_ms_;
   Millis ended_ms_;
 };
@@ -253,8 +254,8 @@
       const auto is_silent = MonotonicMs() - sent_ms >= kAnswerTimeoutMs;
       if (is_silent) {
         problems_.push_back(fmt::format("{} {} got no answer", method, id));
-      } else if (!body.empty()) {
-        cuts_.push_back({id, sent_ms, MonotonicMs()});
+      } else {
+        cuts_.push_back({id, !body.empty(), sent_ms, MonotonicMs()});
       }
       Disconnect();
       return 0;
@@ -449,6 +450,7 @@
     auto answered = 0;
     auto accepted = 0;
     auto cuts = 0;
+    Millis longest_ms = 0;
     for (std::size_t i = 0; i < clients_.size(); ++i) {
       const auto& client = *clients_[i];
       const auto& instance = *instances_[i / kClientsPerInstance];
@@ -456,7 +458,11 @@
       accepted += client.accepted();
       cuts += static_cast<int>(client.cuts().size());
       for (const auto& cut : client.cuts()) {
-        if (!instance.WasKilledAbout(cut.ended_ms_) &&
+        if (instance.WasKilledAbout(cut.ended_ms_)) {
+          continue;
+        }
+        longest_ms = std::max(longest_ms, cut.ended_ms_ - cut.sent_ms_);
+        if (cut.is_submission_ &&
             platform_->store().HasPrefix("ls/in/job/" + cut.job_)) {
           problems_.push_back(fmt::format(
               "{} was read and its connection ended unanswered, {} ms after it "
@@ -468,8 +474,9 @@
       problems_.insert(problems_.end(), client.problems().begin(),
                        client.problems().end());
     }
-    BOOST_TEST_MESSAGE(fmt::format("{} answered, {} accepted, {} cut", answered,
-                                   accepted, cuts));
+    BOOST_TEST_MESSAGE(fmt::format(
+        "{} answered, {} accepted, {} cut, within {} ms of being sent",
+        answered, accepted, cuts, longest_ms));
     if (accepted == 0) {
       problems_.push_back("nothing was accepted");
     }
