Answer a request whose reply is forgotten, as the header says

A reply that a handler dropped unanswered was never answered, and the client waited for its own timeout. A drain would wait for it, too, until its last answers.

Cause: the hook in the request's pool shared the ownership of the reply until the request was disposed of, which happens after the answer, so the destructor that answers 500 could not run before there was an answer.

The connection refers to the reply weakly; whether it has a request is a flag of its own.

--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -43,8 +43,10 @@
   // The connections of the server that are read or have a request.
   std::set<Connection*>* open_connections_;
   h2o_socket_t* socket_;
-  // The request that is being answered, if any.
-  std::shared_ptr<HttpReply> reply_;
+  // True from the reading of a request to the end of its answer.
+  bool has_request_;
+  // Belongs to the handler, so that a forgotten reply answers.
+  std::weak_ptr<HttpReply> reply_;
 };
 
 struct ReplyHook {
@@ -74,8 +76,10 @@
 // h2o disposes of a request before it closes the request's socket.
 auto DisposeHook(void* data) -> void {
   auto* hook = *static_cast<ReplyHook**>(data);
-  hook->connection_->reply_->Detach();
-  hook->connection_->reply_.reset();
+  hook->connection_->has_request_ = false;
+  if (const auto reply = hook->connection_->reply_.lock()) {
+    reply->Detach();
+  }
   --hook->counters_->open_requests_;
   delete hook;
 }
@@ -174,6 +178,7 @@
   auto** slot = static_cast<ReplyHook**>(
       h2o_mem_alloc_shared(&req->pool, sizeof(void*), DisposeHook));
   *slot = new ReplyHook{ConnectionOf(*req), handler->counters_};
+  (*slot)->connection_->has_request_ = true;
   (*slot)->connection_->reply_ = reply;
   ++handler->counters_->open_requests_;
   handler->counters_->bytes_in_ += request.path_.size() + request.body_.size();
@@ -281,7 +286,7 @@
     uv_tcp_nodelay(connection, 1);
     auto* sock =
         h2o_uv_socket_create(stream, reinterpret_cast<uv_close_cb>(free));
-    auto* tracked = new Connection{&core->open_connections_, sock, nullptr};
+    auto* tracked = new Connection{&core->open_connections_, sock, false, {}};
     core->open_connections_.insert(tracked);
     sock->on_close.cb = OnClose;
     sock->on_close.data = tracked;
@@ -291,8 +296,7 @@
   auto CloseIdleConnections() -> void {
     for (auto it = open_connections_.begin(); it != open_connections_.end();) {
       auto* connection = *it++;
-      if (connection->reply_ == nullptr &&
-          connection->socket_->input->size == 0) {
+      if (!connection->has_request_ && connection->socket_->input->size == 0) {
         StopReading(connection);
       }
     }
@@ -407,10 +411,10 @@
     -> void {
   const auto connections = core_->open_connections_;
   for (auto* connection : connections) {
-    if (connection->reply_ == nullptr) {
+    if (!connection->has_request_) {
       StopReading(connection);
-    } else {
-      connection->reply_->Send(status, body);
+    } else if (const auto reply = connection->reply_.lock()) {
+      reply->Send(status, body);
     }
   }
 }
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -225,6 +225,25 @@
   BOOST_TEST(answer.ends_with("<closed>"));
 }
 
+// Guards against a request that is never answered as its handler forgot it.
+BOOST_AUTO_TEST_CASE(a_forgotten_reply_answers_500) {
+  auto& server = StoppingServer::Create();
+  const auto fd = server.Connect();
+  StoppingServer::SendText(fd, Get("/1") + Get("/2"));
+  server.Turn();
+  server.replies().clear();
+  server.Turn();
+  BOOST_REQUIRE(server.replies().size() == 1U);
+  server.replies().clear();
+  server.Turn();
+  BOOST_TEST(server.server().open_requests() == 0);
+  server.server().StopAccepting();
+  const auto answer = StoppingServer::ReceiveAll(fd);
+  BOOST_TEST(CountOf(answer, "HTTP/1.1 500 Internal Server Error\r\n") == 2);
+  BOOST_TEST(answer.ends_with("<closed>"));
+  close(fd);
+}
+
 // Guards against a request that the last turn of the loop reads after the
 // process has decided to end.
 BOOST_AUTO_TEST_CASE(nothing_is_read_once_the_server_has_stopped) {
