Let clients leave a stopping instance with an answer

What callers saw: requests that met the end of their idle connection, 3 s after SIGTERM, and had to be sent again.

From 2.3 s on, when the balancer has had two probes, each answer ends its connection. Five runs of http_server_test pass; fleet_test was run for the stopping owner only.

--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -38,6 +38,9 @@
 // accepted: the load balancer needs two readiness probes, one second apart, to
 // send new connections elsewhere.
 constexpr Millis kStopAcceptingDelayMs = 3000;
+// From this time on, clients leave with their next answer: a request that meets
+// the closing of its connection has to be sent again.
+constexpr Millis kCloseAfterAnswersDelayMs = 2300;
 constexpr Millis kDrainPollIntervalMs = 50;
 // Time reserved between the last answers and the platform's kill.
 constexpr Millis kExitMarginMs = 700;
@@ -387,6 +390,9 @@
   if (elapsed >= kHandOverTimeoutMs) {
     election_->StepDown("this instance is stopping");
   }
+  if (elapsed >= kCloseAfterAnswersDelayMs) {
+    client_server_->CloseAfterAnswers();
+  }
   if (elapsed >= kStopAcceptingDelayMs) {
     client_server_->StopAccepting();
     const auto answer_by_ms = options_.termination_grace_ms_ - kExitMarginMs;
--- a/lentilscale/http_server.cc
+++ b/lentilscale/http_server.cc
@@ -395,9 +395,13 @@
   return core_->open_connections_.size();
 }
 
+auto HttpServer::CloseAfterAnswers() -> void {
+  h2o_context_request_shutdown(&core_->context_);
+}
+
 auto HttpServer::StopAccepting() -> void {
   core_->CloseListener();
-  h2o_context_request_shutdown(&core_->context_);
+  CloseAfterAnswers();
   core_->CloseIdleConnections();
   // A connection also becomes idle by the end of its answer; it is closed
   // before the loop polls again.
--- a/lentilscale/http_server.h
+++ b/lentilscale/http_server.h
@@ -109,6 +109,9 @@
   // answered.
   auto open_connections() const -> std::size_t;
 
+  // Closes each connection after its next answer, which says so.
+  auto CloseAfterAnswers() -> void;
+
   // Stops accepting connections and closes idle ones; open requests go on, and
   // their connections are closed after the answer.
   auto StopAccepting() -> void;
--- a/testing/http_server_test.cc
+++ b/testing/http_server_test.cc
@@ -244,6 +244,23 @@
   close(fd);
 }
 
+// Guards against clients that stay until their requests meet the closing.
+BOOST_AUTO_TEST_CASE(connections_can_end_with_their_next_answer) {
+  auto& stopping = StoppingServer::Create();
+  const auto fd = stopping.Connect();
+  stopping.server().CloseAfterAnswers();
+  stopping.Turn();
+  StoppingServer::SendText(fd, Get("/1"));
+  stopping.Turn();
+  BOOST_REQUIRE(stopping.replies().size() == 1U);
+  stopping.replies().front()->Send(200, "{}");
+  stopping.Turn();
+  const auto answer = StoppingServer::ReceiveAll(fd);
+  BOOST_TEST(CountOf(answer, "Connection: close\r\n") == 1);
+  BOOST_TEST(answer.ends_with("{}<closed>"));
+  close(fd);
+}
+
 // Guards against a request that the last turn of the loop reads after the
 // process has decided to end.
 BOOST_AUTO_TEST_CASE(nothing_is_read_once_the_server_has_stopped) {
