Start nothing on a worker by the entry of its former life

Callers saw: LIMIT, a worker that doesn't guard its capacity brought over it. Cause: a Hold tells the owner of a worker's new life at once, the entry with its capacity and labels is read up to 0.6 s later. In between, tasks were placed by the capacity and the kind of the former life; a new life may be of another kind. An entry without a start time counts as current, as before.

--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -67,9 +67,13 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
+auto FleetWorker::IsEntryCurrent() const -> bool {
+  return entry_.incarnation_ == 0 || entry_.incarnation_ == incarnation_;
+}
+
 auto FleetWorker::IsUsable(Millis now_ms) const -> bool {
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
-         !entry_.is_draining_ && clock_updated_ms_ != 0 &&
+         IsEntryCurrent() && !entry_.is_draining_ && clock_updated_ms_ != 0 &&
          hold_failures_ < kHoldFailureLimit && now_ms >= no_starts_until_ms_ &&
          now_ms >= quarantined_until_ms_;
 }
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -153,6 +153,9 @@
   auto Remove(const std::string& task, std::int64_t run) -> void;
   auto Find(const std::string& task, std::int64_t run) -> PlacedRun*;
 
+  // Returns false if the entry is that of another incarnation than the one that
+  // answers. Each incarnation may have another capacity and other labels.
+  auto IsEntryCurrent() const -> bool;
   // Returns true if new runs may be started on the worker.
   auto IsUsable(Millis now_ms) const -> bool;
   // Returns the capacity that is free for the step `step_name` with the given
