Make no worker exclusive to a step that cannot use it

Callers saw: LOST, jobs with nothing running beside empty workers, without end. Cause: a step with large tasks that wait makes workers exclusive to itself. It took workers that it could never use: those where the step is at its limit per worker, those whose room is taken by tasks that last, and a gang took some although not all its members will ever have room. Change: a candidate must have room for a task of the step once the runs that end have ended, within the step's limit per worker; a gang gets no worker unless all members will have room.

--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -59,6 +59,28 @@
   visit(into.accelerators_, from.accelerators_);
 }
 
+// Returns how many times `demand` fits into `free`, at most `limit`.
+auto CountFitting(const Resources& demand, Resources free, int limit) -> int {
+  auto count = 0;
+  while (count < limit && demand.FitsIn(free)) {
+    free -= demand;
+    ++count;
+  }
+  return count;
+}
+
+// Returns how many more tasks of the step may run on the worker under the
+// step's limit per worker; at most `tasks`.
+auto TasksWithinWorkerLimit(const FleetWorker& worker, const StepRun& step,
+                            int tasks) -> int {
+  if (step.step_->max_per_worker_ == 0) {
+    return tasks;
+  }
+  const auto it = step.runs_per_worker_.find(worker.entry_.id_);
+  const auto runs = it == step.runs_per_worker_.end() ? 0 : it->second;
+  return std::clamp(step.step_->max_per_worker_ - runs, 0, tasks);
+}
+
 // Returns how many of a service's `workers` may be exclusive to large tasks.
 auto MaxExclusiveWorkers(std::size_t workers) -> std::size_t {
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
@@ -357,6 +379,10 @@
 // wait forever behind smaller ones that fill each gap. Of the allowed workers,
 // those that will have room first are chosen. Only the step itself and more
 // urgent steps may use them; each pass decides anew until the tasks are placed.
+//
+// A worker on which the step cannot run, or that will not have room, is never
+// chosen, and a gang gets no worker unless all its members will have room:
+// nothing would end the exclusivity, and the worker would stay empty.
 auto Dispatcher::MakeWorkersExclusive(StepRun& step, const Queue& queue,
                                       int tasks, Millis now_ms) -> void {
   if (queue.advice_.has_value() && step.advice_by_worker_.empty()) {
@@ -374,17 +400,28 @@
       demand.DominantShare(service.min_capacity_) < kLargeTaskShare) {
     return;
   }
+  // Tasks that the workers will have room for; counted up to `tasks`.
+  auto future_tasks = 0;
   for (auto* worker : service.usable_workers_) {
     const auto allowed = step.advice_by_worker_.find(worker->entry_.id_);
-    if (worker->exclusive_for_.empty() &&
-        demand.FitsIn(worker->entry_.capacity_) &&
-        demand.DominantShare(worker->entry_.capacity_) >= kLargeTaskShare &&
-        (!queue.advice_.has_value() ||
-         (allowed != step.advice_by_worker_.end() && allowed->second)) &&
-        worker->HasLabel(step.step_->required_label_)) {
+    if (!worker->exclusive_for_.empty() ||
+        !worker->HasLabel(step.step_->required_label_) ||
+        (queue.advice_.has_value() &&
+         (allowed == step.advice_by_worker_.end() || !allowed->second))) {
+      continue;
+    }
+    const auto fitting =
+        std::min(TasksWithinWorkerLimit(*worker, step, tasks),
+                 CountFitting(demand, worker->CapacityOnceEnded(), tasks));
+    future_tasks = std::min(tasks, future_tasks + fitting);
+    if (fitting > 0 &&
+        demand.DominantShare(worker->entry_.capacity_) >= kLargeTaskShare) {
       candidates.push_back({worker, worker->TimeUntilFitsMs(demand, now_ms)});
     }
   }
+  if (step.step_->is_gang_ && future_tasks < tasks) {
+    return;
+  }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.available_in_ms_ < b.available_in_ms_;
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -108,6 +108,16 @@
   return next;
 }
 
+auto FleetWorker::CapacityOnceEnded() const -> Resources {
+  auto free = entry_.capacity_;
+  for (const auto& [key, run] : runs_) {
+    if (run.is_long_running_ && run.phase_ != PlacedRun::Phase::kStopping) {
+      free -= run.demand_;
+    }
+  }
+  return free;
+}
+
 auto FleetWorker::TimeUntilFitsMs(const Resources& demand, Millis now_ms) const
     -> Millis {
   auto free = entry_.capacity_;
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -164,6 +164,9 @@
   // less urgent, the result is negative, so that no task fits.
   auto FreeCapacityFor(const std::string& step_name, int priority) const
       -> Resources;
+  // Returns the capacity that is free once all runs have ended that end by
+  // themselves or are being stopped.
+  auto CapacityOnceEnded() const -> Resources;
   // Returns the time until `demand` fits, by the estimates of the current runs;
   // kNeverMs if no such time is known.
   auto TimeUntilFitsMs(const Resources& demand, Millis now_ms) const -> Millis;
--- a/testing/fleet_worker_test.cc
+++ b/testing/fleet_worker_test.cc
@@ -36,4 +36,23 @@
   BOOST_TEST(worker.IsUsable(kNowMs));
 }
 
+// Guards against LOST: a worker kept empty for a task that can't fit beside one
+// that lasts.
+BOOST_AUTO_TEST_CASE(only_runs_that_end_make_room) {
+  auto worker = MakeUsableWorker();
+  PlacedRun run;
+  run.task_ = *TaskId::FromString("j.0.0.0");
+  run.run_ = 1;
+  run.demand_ = {0, 1000, 1000, 0};
+  worker.Add(run);
+  run.run_ = 2;
+  run.is_long_running_ = true;
+  auto& lasting = worker.Add(run);
+  const auto beside = Resources{0, 3000, 3000, 0};
+  const auto whole = Resources{0, 4000, 4000, 0};
+  BOOST_TEST((worker.CapacityOnceEnded() == beside));
+  lasting.phase_ = PlacedRun::Phase::kStopping;
+  BOOST_TEST((worker.CapacityOnceEnded() == whole));
+}
+
 }  // namespace lentilscale::fleet
