Let one job extend a worker's quarantine only once

Callers saw: LOST, tasks that wait for up to 6 s beside room on a sound worker. Cause: each failed run on a quarantined worker doubled its quarantine. The tasks of one job that fails by its own fault end together: within 0.3 s the quarantine grew from 1.5 to 6 s. Failures were forgotten only when a run was done there, and a task that lasts is never done, so on a worker with such tasks each single failure brought the next quarantine, up to 6 s. Change: a job that has failed on the worker already doesn't extend a quarantine that goes on; failures that are 10 s apart are forgotten. Several jobs that fail there still bring the long quarantine at once. The rule moves into FleetWorker, where it can be tested.

--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -25,11 +25,6 @@
 constexpr Millis kFreshHeartbeats = 2;
 // Tasks of the previous owner end within this time after its leases expire.
 constexpr Millis kTakeOverMarginMs = 500;
-// Number of jobs with a failed run, without a successful run in between, at
-// which a worker is quarantined.
-constexpr std::size_t kQuarantineFailures = 2;
-constexpr Millis kMinQuarantineMs = 1500;
-constexpr Millis kMaxQuarantineMs = 6000;
 
 }  // namespace
 
@@ -122,18 +117,8 @@
 auto Dispatcher::UpdateQuarantine(FleetWorker& worker, const std::string& job,
                                   RunEnd end, Millis now_ms) -> void {
   if (end == RunEnd::kDone) {
-    worker.failed_jobs_.clear();
-    worker.quarantine_ms_ = 0;
-    return;
-  }
-  if (end != RunEnd::kFailed) {
-    return;
-  }
-  worker.failed_jobs_.insert(job);
-  if (worker.failed_jobs_.size() >= kQuarantineFailures) {
-    worker.quarantine_ms_ = std::clamp(worker.quarantine_ms_ * 2,
-                                       kMinQuarantineMs, kMaxQuarantineMs);
-    worker.quarantined_until_ms_ = now_ms + worker.quarantine_ms_;
+    worker.ForgetFailures();
+  } else if (end == RunEnd::kFailed && worker.CountFailure(job, now_ms)) {
     LogEvent(Event::kFleetWorkerQuarantined,
              {{"worker", worker.entry_.id_},
               {"failed_jobs", std::to_string(worker.failed_jobs_.size())},
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -12,6 +12,14 @@
 constexpr Millis kLeaseExpiryMarginMs = 50;
 // Consecutive failed Hold calls after which a worker gets no new tasks.
 constexpr int kHoldFailureLimit = 1;
+// Number of jobs with a failed run, without a successful run in between, at
+// which a worker is quarantined.
+constexpr std::size_t kQuarantineFailures = 2;
+constexpr Millis kMinQuarantineMs = 1500;
+constexpr Millis kMaxQuarantineMs = 6000;
+// Failures on a worker that are further apart have nothing to do with each
+// other; those after the longest quarantine do.
+constexpr Millis kFailureMemoryMs = 10000;
 
 }  // namespace
 
@@ -67,6 +75,27 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
+auto FleetWorker::CountFailure(const std::string& job, Millis now_ms) -> bool {
+  if (now_ms - last_failure_ms_ > kFailureMemoryMs) {
+    ForgetFailures();
+  }
+  last_failure_ms_ = now_ms;
+  const auto is_first_of_job = failed_jobs_.insert(job).second;
+  if (failed_jobs_.size() < kQuarantineFailures ||
+      (now_ms < quarantined_until_ms_ && !is_first_of_job)) {
+    return false;
+  }
+  quarantine_ms_ =
+      std::clamp(quarantine_ms_ * 2, kMinQuarantineMs, kMaxQuarantineMs);
+  quarantined_until_ms_ = now_ms + quarantine_ms_;
+  return true;
+}
+
+auto FleetWorker::ForgetFailures() -> void {
+  failed_jobs_.clear();
+  quarantine_ms_ = 0;
+}
+
 auto FleetWorker::IsEntryCurrent() const -> bool {
   return entry_.incarnation_ == 0 || entry_.incarnation_ == incarnation_;
 }
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -124,6 +124,7 @@
   Millis no_starts_until_ms_ = 0;
   // Jobs of which a run failed here since the last successful run.
   std::set<std::string> failed_jobs_;
+  Millis last_failure_ms_ = 0;
   Millis quarantined_until_ms_ = 0;
   // Length of the last quarantine; 0 after a successful run.
   Millis quarantine_ms_ = 0;
@@ -153,6 +154,12 @@
   auto Remove(const std::string& task, std::int64_t run) -> void;
   auto Find(const std::string& task, std::int64_t run) -> PlacedRun*;
 
+  // Counts a failed run of `job`; returns true if that quarantines the worker.
+  // Each quarantine lasts twice as long as the one before. During a quarantine
+  // a job extends it only once, as all tasks of a job that is at fault itself
+  // fail together.
+  auto CountFailure(const std::string& job, Millis now_ms) -> bool;
+  auto ForgetFailures() -> void;
   // Returns false if the entry is that of another incarnation than the one that
   // answers. Each incarnation may have another capacity and other labels.
   auto IsEntryCurrent() const -> bool;
--- a/testing/fleet_worker_test.cc
+++ b/testing/fleet_worker_test.cc
@@ -55,4 +55,30 @@
   BOOST_TEST((worker.CapacityOnceEnded() == whole));
 }
 
+// Guards against LOST: room kept closed for seconds since one job's tasks fail
+// together.
+BOOST_AUTO_TEST_CASE(one_jobs_failures_do_not_extend_a_quarantine) {
+  auto worker = MakeUsableWorker();
+  BOOST_TEST(!worker.CountFailure("job-1", kNowMs));
+  BOOST_TEST(worker.CountFailure("job-2", kNowMs));
+  const auto until = worker.quarantined_until_ms_;
+  for (auto i = 0; i < 4; ++i) {
+    BOOST_TEST(!worker.CountFailure("job-2", kNowMs + 100));
+  }
+  BOOST_TEST(worker.quarantined_until_ms_ == until);
+  // Other jobs speak against the worker.
+  BOOST_TEST(worker.CountFailure("job-3", kNowMs + 100));
+  BOOST_TEST(worker.quarantined_until_ms_ > until);
+}
+
+// Guards against LOST: a worker that is quarantined for longer each time a task
+// that lasts fails, as such a task never is done.
+BOOST_AUTO_TEST_CASE(failures_far_apart_do_not_quarantine) {
+  auto worker = MakeUsableWorker();
+  for (auto i = 0; i < 6; ++i) {
+    BOOST_TEST(!worker.CountFailure("job-" + std::to_string(i),
+                                    kNowMs + i * Millis{20000}));
+  }
+}
+
 }  // namespace lentilscale::fleet
