Judge no task as waiting that its team's limit has no room for

Cause: the judge asked whether the team uses under half of its limit, not whether the limit has room for the task, or for all of a gang. Change: the demand must fit within the limit besides.

--- a/testing/placement_walk_stand_in.cc
+++ b/testing/placement_walk_stand_in.cc
@@ -938,7 +938,8 @@
   return rooms;
 }
 
-auto PlacementWorld::IsTeamUnderHalf(const std::string& team) const -> bool {
+auto PlacementWorld::IsTeamUnderHalf(const std::string& team,
+                                     const Resources& demand) const -> bool {
   Resources used;
   for (const auto& [id, worker] : workers_) {
     for (const auto& [task, run] : worker.running_) {
@@ -948,8 +949,11 @@
     }
   }
   const auto limit = config_->FindTeam(team)->limit_;
-  return used.cpu_milli_ * 2 < limit.cpu_milli_ &&
-         used.accelerators_ * 2 < limit.accelerators_;
+  const auto is_under_half = used.cpu_milli_ * 2 < limit.cpu_milli_ &&
+                             used.accelerators_ * 2 < limit.accelerators_;
+  used += demand;
+  return is_under_half && used.cpu_milli_ <= limit.cpu_milli_ &&
+         used.accelerators_ <= limit.accelerators_;
 }
 
 auto PlacementWorld::IsServiceUnderHalf(const std::string& service) const
@@ -1007,17 +1011,23 @@
       break;
     }
     const auto rooms = CountRooms(name, step, queue);
+    Resources demand;
+    for (auto i = 0; i < (step.is_gang_ ? step.count_ : 1); ++i) {
+      demand += step.demand_;
+    }
     const auto has_room = rooms >= 2 * (step.is_gang_ ? step.count_ : 1);
     for (auto i = 0; i < step.count_; ++i) {
       const auto task = TaskId{id, 0, number, i}.ToString();
       const auto is_running = IsRunning(task);
       const auto is_waiting = !is_running && !is_done(number, i);
       is_any_running |= is_running;
-      is_any_kept |= is_waiting && has_room;
+      is_any_kept |=
+          is_waiting && has_room && IsTeamUnderHalf(record.team_, demand);
       const auto last_end = job.last_run_ended_ms_.find(task);
       if (step.is_long_running_) {
         NoteWaiting(task,
-                    is_waiting && has_room && IsTeamUnderHalf(record.team_) &&
+                    is_waiting && has_room &&
+                        IsTeamUnderHalf(record.team_, demand) &&
                         (last_end == job.last_run_ended_ms_.end() ||
                          now - last_end->second >= kLastRunBoundMs),
                     fmt::format("{} rooms for a task that lasts", rooms));
@@ -1025,11 +1035,11 @@
     }
     text += fmt::format("{} rooms for a task of step {}; ", rooms, s);
   }
-  NoteWaiting(
-      id,
-      !is_any_running && is_any_kept && now - began_ms_ > kTrafficEndsMs &&
-          IsTeamUnderHalf(record.team_) && IsServiceUnderHalf(queue.service_),
-      queue.name_ + ": " + text);
+  NoteWaiting(id,
+              !is_any_running && is_any_kept &&
+                  now - began_ms_ > kTrafficEndsMs &&
+                  IsServiceUnderHalf(queue.service_),
+              queue.name_ + ": " + text);
 }
 
 auto PlacementWorld::Judge() -> void {
--- a/testing/placement_walk_stand_in.h
+++ b/testing/placement_walk_stand_in.h
@@ -219,7 +219,10 @@
   auto IsRunning(const std::string& task) const -> bool;
   auto CountRooms(const std::string& step_name, const Step& step,
                   const Queue& queue) const -> int;
-  auto IsTeamUnderHalf(const std::string& team) const -> bool;
+  // Returns true if the team uses under half of its limit and may use `demand`
+  // besides.
+  auto IsTeamUnderHalf(const std::string& team, const Resources& demand) const
+      -> bool;
   auto IsServiceUnderHalf(const std::string& service) const -> bool;
   // Notes whether `name` is kept waiting now; reports it after the bound.
   auto NoteWaiting(const std::string& name, bool is_kept_waiting,
