End exclusivity for a step that must run by now

Callers saw: LOST, a task that waits for 3 s and more beside room on the workers allowed for it. Cause: while a worker is being freed for a large task it is closed to all steps that are not more urgent, for as long as its runs last. A step that is allowed on few workers waits all that time, even if half of the service is idle; a task that lasts must run then however full the service is. Change: a step whose task has waited for 1 s doesn't heed exclusivity to others, if it lasts or if less than 0.6 of the service is in use. An advice call still fits into the 3 s then. Under load large tasks keep their workers.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -229,6 +229,10 @@
   };
   auto OrderWaitingSteps() -> std::vector<WaitingStep>;
   auto SummarizeServices(Millis now_ms) -> void;
+  // Returns true if the step has waited too long to heed that workers are
+  // exclusive to other steps.
+  auto MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
+                            Millis now_ms) -> bool;
   // Returns true if the pass can neither place a task of the step nor make a
   // worker exclusive to it. This cheap check skips most steps when the fleet is
   // full; it may return false for a step that cannot be placed.
@@ -305,6 +309,9 @@
     Resources max_free_;
     Resources min_capacity_;
     std::size_t worker_count_ = 0;
+    // Sums over all workers.
+    Resources capacity_;
+    Resources used_;
     // Workers that the current pass has made exclusive to large tasks.
     std::size_t exclusive_workers_ = 0;
   };
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -67,7 +67,8 @@
   const auto demand = CapacityDemand(*step.step_);
   // Returns how many of the step's tasks fit on `worker` now.
   const auto count_fitting_tasks = [&](const FleetWorker& worker) {
-    auto free = worker.FreeCapacityFor(step.name_, queue.priority_);
+    auto free = worker.FreeCapacityFor(step.name_, queue.priority_,
+                                       step.ignores_exclusivity_);
     auto limit = step.step_->max_per_worker_ > 0 ? step.step_->max_per_worker_
                                                  : task_count;
     auto fitting = 0;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -41,6 +41,12 @@
 // At most one worker in this many of a service is exclusive to large tasks, but
 // always at least one may be.
 constexpr std::size_t kExclusiveWorkerDivisor = 3;
+// Exclusivity must not keep a step waiting that has to run: a task that lasts,
+// whose users notice each second, or any task while less than this share of the
+// service is in use. After this time it ends for such a step, which leaves time
+// for an advice call within the 3 s that the users allow.
+constexpr double kMaxIdleServiceShare = 0.6;
+constexpr Millis kMaxExclusiveWaitMs = 1000;
 // Score adjustments, each larger than any difference in load: a worker near the
 // data or without tasks that would be disturbed is preferred, one on which the
 // task's last run failed is avoided.
@@ -113,6 +119,8 @@
   SummarizeServices(now);
   for (const auto& waiting : OrderWaitingSteps()) {
     auto& step = *waiting.step_;
+    step.ignores_exclusivity_ =
+        MayIgnoreExclusivity(step, *waiting.queue_, now);
     const auto is_placed = step.step_->is_gang_
                                ? PlaceGang(step, *waiting.queue_, now)
                                : PlaceStep(step, *waiting.queue_, now);
@@ -151,6 +159,8 @@
     const auto& capacity = worker.entry_.capacity_;
     auto& service = services_[worker.entry_.service_];
     ++service.worker_count_;
+    service.capacity_ += capacity;
+    service.used_ += worker.used_;
     ForEachResource(service.min_capacity_, capacity,
                     [](std::int64_t& smallest, std::int64_t amount) {
                       if (amount > 0 && (smallest == 0 || amount < smallest)) {
@@ -169,6 +179,20 @@
   }
 }
 
+auto Dispatcher::MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
+                                      Millis now_ms) -> bool {
+  const auto& service = services_[queue.service_];
+  if (!step.step_->is_long_running_ &&
+      service.used_.DominantShare(service.capacity_) >= kMaxIdleServiceShare) {
+    return false;
+  }
+  return std::any_of(
+      step.tasks_.begin(), step.tasks_.end(), [&](const Task& task) {
+        return task.phase_ == Task::Phase::kWaiting &&
+               now_ms - task.waiting_since_ms_ >= kMaxExclusiveWaitMs;
+      });
+}
+
 auto Dispatcher::IsInfeasible(const StepRun& step, const Queue& queue) -> bool {
   const auto& service = services_[queue.service_];
   const auto demand = CapacityDemand(*step.step_);
@@ -187,7 +211,8 @@
   if (worker.entry_.service_ != queue.service_ || !worker.IsUsable(now_ms) ||
       !worker.HasLabel(requirements.required_label_) ||
       !CapacityDemand(requirements)
-           .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_))) {
+           .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
+                                          step.ignores_exclusivity_))) {
     return false;
   }
   if (requirements.max_per_worker_ > 0) {
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -107,11 +107,11 @@
          now_ms >= quarantined_until_ms_;
 }
 
-auto FleetWorker::FreeCapacityFor(const std::string& step_name,
-                                  int priority) const -> Resources {
+auto FleetWorker::FreeCapacityFor(const std::string& step_name, int priority,
+                                  bool ignores_exclusivity) const -> Resources {
   auto free = entry_.capacity_;
   if (!exclusive_for_.empty() && exclusive_for_ != step_name &&
-      priority >= exclusive_priority_) {
+      priority >= exclusive_priority_ && !ignores_exclusivity) {
     return {0, -1, -1, -1};
   }
   free -= used_;
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -165,12 +165,13 @@
   auto IsEntryCurrent() const -> bool;
   // Returns true if new runs may be started on the worker.
   auto IsUsable(Millis now_ms) const -> bool;
-  // Returns the capacity that is free for the step `step_name` with the given
-  // priority. Capacity reserved for other steps of equal or higher urgency does
-  // not count as free. If the worker is exclusive to another step that is not
-  // less urgent, the result is negative, so that no task fits.
-  auto FreeCapacityFor(const std::string& step_name, int priority) const
-      -> Resources;
+  // Returns the capacity that is free for the step with the given priority.
+  // Capacity reserved for other steps of equal or higher urgency does not count
+  // as free. If the worker is exclusive to another step that is not less
+  // urgent, the result is negative, so that no task fits, unless
+  // `ignores_exclusivity` is true.
+  auto FreeCapacityFor(const std::string& step_name, int priority,
+                       bool ignores_exclusivity = false) const -> Resources;
   // Returns the capacity that is free once all runs have ended that end by
   // themselves or are being stopped.
   auto CapacityOnceEnded() const -> Resources;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -91,6 +91,9 @@
   // Advice calls that returned since all tasks of the step were last placed.
   // Each one moves the step's next call back among those of other steps.
   int advice_calls_ = 0;
+  // True if the step has waited so long that it may use workers that are
+  // exclusive to other steps. Each placement pass sets it anew.
+  bool ignores_exclusivity_ = false;
   // Number of the step's runs on each worker, by worker id.
   std::map<std::string, int> runs_per_worker_;
 
