Keep tasks that last from a failing worker for 1.5 s only

Callers saw: LOST, a task that lasts waits for 3 s beside room. Cause: a worker that failed tasks of several jobs is quarantined for up to 6 s, and a single failure after that begins the next 6 s. Change: a quarantine keeps tasks that last away for 1.5 s after the last failure; they have no limit on attempts. Other workers with room come first.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -303,6 +303,7 @@
   std::vector<PendingAdvice> pending_advice_;
   // The workers of one service at the start of the current placement pass.
   struct ServiceSummary {
+    // Usable at least for long-running tasks.
     std::vector<FleetWorker*> usable_workers_;
     // For each resource separately: the largest free amount on a usable worker,
     // and the smallest nonzero capacity of any worker.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -167,7 +167,7 @@
                         smallest = amount;
                       }
                     });
-    if (worker.IsUsable(now_ms)) {
+    if (worker.IsUsable(now_ms, true)) {
       service.usable_workers_.push_back(&worker);
       auto free = capacity;
       free -= worker.used_;
@@ -208,7 +208,8 @@
 auto Dispatcher::IsEligible(const FleetWorker& worker, const StepRun& step,
                             const Queue& queue, Millis now_ms) const -> bool {
   const auto& requirements = *step.step_;
-  if (worker.entry_.service_ != queue.service_ || !worker.IsUsable(now_ms) ||
+  if (worker.entry_.service_ != queue.service_ ||
+      !worker.IsUsable(now_ms, requirements.is_long_running_) ||
       !worker.HasLabel(requirements.required_label_) ||
       !CapacityDemand(requirements)
            .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
@@ -275,9 +276,10 @@
         !HasValidTicket(*worker, step, queue, now_ms)) {
       continue;
     }
+    const auto is_avoided =
+        worker->entry_.id_ == avoided_worker || !worker->IsUsable(now_ms);
     const auto score =
-        ScoreWorker(*worker, step) -
-        (worker->entry_.id_ == avoided_worker ? kLastFailurePenalty : 0);
+        ScoreWorker(*worker, step) - (is_avoided ? kLastFailurePenalty : 0);
     if (score > best_score) {
       best = worker;
       best_score = score;
@@ -430,6 +432,7 @@
   for (auto* worker : service.usable_workers_) {
     const auto allowed = step.advice_by_worker_.find(worker->entry_.id_);
     if (!worker->exclusive_for_.empty() ||
+        !worker->IsUsable(now_ms, step.step_->is_long_running_) ||
         !worker->HasLabel(step.step_->required_label_) ||
         (queue.advice_.has_value() &&
          (allowed == step.advice_by_worker_.end() || !allowed->second))) {
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -100,11 +100,17 @@
   return entry_.incarnation_ == 0 || entry_.incarnation_ == incarnation_;
 }
 
-auto FleetWorker::IsUsable(Millis now_ms) const -> bool {
+auto FleetWorker::QuarantineEndMs(bool is_long_running) const -> Millis {
+  return is_long_running ? std::min(quarantined_until_ms_,
+                                    last_failure_ms_ + kMinQuarantineMs)
+                         : quarantined_until_ms_;
+}
+
+auto FleetWorker::IsUsable(Millis now_ms, bool is_long_running) const -> bool {
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
          IsEntryCurrent() && !entry_.is_draining_ && clock_updated_ms_ != 0 &&
          hold_failures_ < kHoldFailureLimit && now_ms >= no_starts_until_ms_ &&
-         now_ms >= quarantined_until_ms_;
+         now_ms >= QuarantineEndMs(is_long_running);
 }
 
 auto FleetWorker::FreeCapacityFor(const std::string& step_name, int priority,
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -163,8 +163,12 @@
   // Returns false if the entry is that of another incarnation than the one that
   // answers. Each incarnation may have another capacity and other labels.
   auto IsEntryCurrent() const -> bool;
-  // Returns true if new runs may be started on the worker.
-  auto IsUsable(Millis now_ms) const -> bool;
+  // Returns true if new runs may be started on the worker. A quarantine ends
+  // early for long-running tasks: these have no limit on failed runs, and must
+  // be running wherever there is room.
+  auto IsUsable(Millis now_ms, bool is_long_running = false) const -> bool;
+  // Returns when no quarantine keeps such tasks away any more.
+  auto QuarantineEndMs(bool is_long_running) const -> Millis;
   // Returns the capacity that is free for the step with the given priority.
   // Capacity reserved for other steps of equal or higher urgency does not count
   // as free. If the worker is exclusive to another step that is not less
--- a/testing/fleet_worker_test.cc
+++ b/testing/fleet_worker_test.cc
@@ -81,4 +81,20 @@
   }
 }
 
+// Guards against LOST: a task that lasts kept from the only room by a long
+// quarantine.
+BOOST_AUTO_TEST_CASE(a_long_quarantine_ends_early_for_tasks_that_last) {
+  auto worker = MakeUsableWorker();
+  for (const auto* job : {"job-1", "job-2", "job-3", "job-4"}) {
+    worker.CountFailure(job, kNowMs);
+  }
+  BOOST_TEST(worker.quarantine_ms_ == 6000);
+  BOOST_TEST(!worker.IsUsable(kNowMs + 1000, true));
+  BOOST_TEST(worker.IsUsable(kNowMs + 1500, true));
+  BOOST_TEST(!worker.IsUsable(kNowMs + 1500));
+  // Each failure keeps them away again.
+  worker.CountFailure("job-1", kNowMs + 1600);
+  BOOST_TEST(!worker.IsUsable(kNowMs + 1700, true));
+}
+
 }  // namespace lentilscale::fleet
