Request advice before a take-over's wait ends

Callers saw: LOST, a task that lasts isn't running for 7 s after a take-over. Cause: a new owner waits up to 5.6 s for the workers of the previous one. Only then it asked for advice, for all waiting steps at once: long calls took another 1.5 s in turn. Change: steps whose tasks may still be running ask for tickets 1 s before the wait must end. The tickets are valid for longer than that.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -211,6 +211,8 @@
   // calls, and ends the wait for unclaimed workers once their leases have
   // expired.
   auto CheckWorkers(Millis now_ms) -> void;
+  // Returns when the leases of the previous owner must have expired.
+  auto TakeOverEndMs() const -> Millis;
   // Returns true if a task of a recovered job cannot be running on a worker
   // that has not answered since this instance took over.
   auto IsKnownNotRunning(const std::string& service,
@@ -257,6 +259,9 @@
                             Millis now_ms) -> void;
   auto AddPendingAdvice(StepRun& step, const Queue& queue, int task_count)
       -> void;
+  // Requests tickets for tasks that may be placed once the take-over is over.
+  auto AddAdviceForTakeOver(StepRun& step, const Queue& queue, int task_count,
+                            Millis now_ms) -> void;
   auto RequestPendingAdvice(Millis now_ms) -> void;
   auto AddAllServiceWorkers(const StepRun& step, const Queue& queue,
                             std::vector<std::string>& asked) const -> void;
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -26,6 +26,9 @@
 // The service accepts at most this many workers in a call.
 constexpr std::size_t kMaxAdviceWorkers = 100;
 constexpr Millis kAdviceRetryMs = 250;
+// Tickets are requested this long before the tasks of unclaimed workers may be
+// placed: a long call takes most of it, and its tickets are valid for longer.
+constexpr Millis kTakeOverLeadMs = 1000;
 // Calls that take at most this long are treated as urgent, as they do not delay
 // other urgent calls.
 constexpr double kMaxUrgentAdviceMs = 60;
@@ -54,6 +57,13 @@
   }
 }
 
+auto Dispatcher::AddAdviceForTakeOver(StepRun& step, const Queue& queue,
+                                      int task_count, Millis now_ms) -> void {
+  if (now_ms >= TakeOverEndMs() - kTakeOverLeadMs) {
+    AddPendingAdvice(step, queue, task_count);
+  }
+}
+
 auto Dispatcher::RequestAdvice(StepRun& step, const Queue& queue,
                                int task_count, Millis now_ms) -> void {
   if (!queue.advice_.has_value() || step.is_advice_pending_ ||
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -318,7 +318,7 @@
     return false;
   }
   auto unplaced = 0;
-  auto may_be_running = false;
+  auto maybe_running = 0;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
     auto& task = step.tasks_[i];
     if (task.phase_ != Task::Phase::kWaiting) {
@@ -327,7 +327,7 @@
     if (step.job_->is_recovered() &&
         !IsKnownNotRunning(queue.service_,
                            step.TaskIdAt(static_cast<int>(i)).ToString())) {
-      may_be_running = true;
+      ++maybe_running;
       continue;
     }
     if (!IsWithinTeamLimit(step.job_->record().team_, step.step_->demand_)) {
@@ -346,7 +346,10 @@
     MakeWorkersExclusive(step, queue, unplaced, now_ms);
     AddPendingAdvice(step, queue, unplaced);
   }
-  return unplaced == 0 && !may_be_running;
+  if (maybe_running > 0) {
+    AddAdviceForTakeOver(step, queue, maybe_running, now_ms);
+  }
+  return unplaced == 0 && maybe_running == 0;
 }
 
 auto Dispatcher::PlaceGang(StepRun& step, const Queue& queue, Millis now_ms)
@@ -359,6 +362,7 @@
   for (auto i = 0; i < count; ++i) {
     if (step.job_->is_recovered() &&
         !IsKnownNotRunning(queue.service_, step.TaskIdAt(i).ToString())) {
+      AddAdviceForTakeOver(step, queue, count, now_ms);
       return false;
     }
   }
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -178,10 +178,7 @@
     recorder_.MarkDirty(kWorkersKey);
   }
   if (!unclaimed_workers_.empty() && is_worker_list_read_ &&
-      now_ms >
-          claim_.claimed_ms_ +
-              static_cast<Millis>(options_.lease_ms_ / kMinWorkerClockRate) +
-              kTakeOverMarginMs) {
+      now_ms > TakeOverEndMs()) {
     LogEvent(
         Event::kFleetTakenOver,
         {{"epoch", std::to_string(claim_.epoch_)},
@@ -193,6 +190,12 @@
   }
 }
 
+auto Dispatcher::TakeOverEndMs() const -> Millis {
+  return claim_.claimed_ms_ +
+         static_cast<Millis>(options_.lease_ms_ / kMinWorkerClockRate) +
+         kTakeOverMarginMs;
+}
+
 auto Dispatcher::IsKnownNotRunning(const std::string& service,
                                    const std::string& task) const -> bool {
   return is_worker_list_read_ &&
