Let a refusal of advice hold for the worker's life only

Callers saw: LOST, a job that never runs beside an empty worker that it may use. Cause: a worker that the advice service doesn't name as allowed was closed to the step for ever. A worker that isn't up when the service is asked isn't named either; a step's first call names all listed workers, silent ones too. That the users' service leaves such workers out is likely (a ticket is for a worker's life) and not seen. Change: the answer is kept with the life that the worker had when it was asked about; a refusal of another life counts as unknown.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -268,7 +268,7 @@
   auto RequestAdvice(StepRun& step, const Queue& queue, int task_count,
                      Millis now_ms) -> void;
   auto OnAdvice(const std::string& job, std::int64_t occurrence, int step,
-                const std::vector<std::string>& asked,
+                const std::map<std::string, std::int64_t>& asked,
                 const AdviceResult& result) -> void;
   auto StartTask(StepRun& step, int index, FleetWorker& worker,
                  std::int64_t run, Millis now_ms) -> void;
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -107,9 +107,11 @@
       expected_placements += count;
       continue;
     }
-    candidates.push_back({worker, count,
-                          step.advice_by_worker_.contains(worker->entry_.id_),
-                          ScoreWorker(*worker, step)});
+    candidates.push_back(
+        {worker, count,
+         step.IsAllowedOn(worker->entry_.id_, worker->incarnation_)
+             .value_or(false),
+         ScoreWorker(*worker, step)});
   }
   if (candidates.empty() || (step.step_->is_gang_ && placeable < task_count)) {
     return;
@@ -152,11 +154,15 @@
       static_cast<Millis>(queue.advice_->decide_ms_ +
                           queue.advice_->per_worker_ms_ *
                               static_cast<double>(request.worker_ids_.size()));
+  // The incarnations of the workers that are asked about.
+  std::map<std::string, std::int64_t> asked;
+  for (const auto& id : request.worker_ids_) {
+    asked[id] = workers_.at(id).incarnation_;
+  }
   step.is_advice_pending_ = advice_->RequestAdvice(
       request, now_ms,
       [this, job = step.job_->record().id_, occurrence = step.occurrence_,
-       number = step.step_number_, asked = request.worker_ids_,
-       name = queue.name_, now_ms,
+       number = step.step_number_, asked, name = queue.name_, now_ms,
        alive = is_alive_](const AdviceResult& result) {
         if (*alive) {
           metrics_->Increment(FleetCounter::kAdviceCalls);
@@ -186,7 +192,7 @@
 
 auto Dispatcher::OnAdvice(const std::string& job, std::int64_t occurrence,
                           int step_number,
-                          const std::vector<std::string>& asked,
+                          const std::map<std::string, std::int64_t>& asked,
                           const AdviceResult& result) -> void {
   auto* found = FindJob(job);
   auto* step =
@@ -212,11 +218,11 @@
     step->next_advice_call_ms_ = now + kAdviceRetryMs;
     return;
   }
-  for (const auto& id : asked) {
-    step->advice_by_worker_[id] = false;
+  for (const auto& [id, incarnation] : asked) {
+    step->advice_by_worker_[id] = {false, incarnation};
   }
   for (const auto& ticket : result.tickets_) {
-    step->advice_by_worker_[ticket.worker_id_] = true;
+    step->advice_by_worker_[ticket.worker_id_].is_allowed_ = true;
     const auto it = workers_.find(ticket.worker_id_);
     if (it != workers_.end()) {
       step->tickets_[ticket.worker_id_] = {
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -223,9 +223,9 @@
       return false;
     }
   }
-  const auto allowed = step.advice_by_worker_.find(worker.entry_.id_);
   return !queue.advice_.has_value() ||
-         allowed == step.advice_by_worker_.end() || allowed->second;
+         step.IsAllowedOn(worker.entry_.id_, worker.incarnation_)
+             .value_or(true);
 }
 
 auto Dispatcher::HasValidTicket(const FleetWorker& worker, const StepRun& step,
@@ -434,12 +434,12 @@
   // Tasks that the workers will have room for; counted up to `tasks`.
   auto future_tasks = 0;
   for (auto* worker : service.usable_workers_) {
-    const auto allowed = step.advice_by_worker_.find(worker->entry_.id_);
     if (!worker->exclusive_for_.empty() ||
         !worker->IsUsable(now_ms, step.step_->is_long_running_) ||
         !worker->HasLabel(step.step_->required_label_) ||
         (queue.advice_.has_value() &&
-         (allowed == step.advice_by_worker_.end() || !allowed->second))) {
+         !step.IsAllowedOn(worker->entry_.id_, worker->incarnation_)
+              .value_or(false))) {
       continue;
     }
     const auto fitting =
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -46,6 +46,18 @@
   return {job_->record().id_, occurrence_, step_number_, index};
 }
 
+auto StepRun::IsAllowedOn(const std::string& worker,
+                          std::int64_t incarnation) const
+    -> std::optional<bool> {
+  const auto it = advice_by_worker_.find(worker);
+  if (it == advice_by_worker_.end() ||
+      (!it->second.is_allowed_ &&
+       it->second.worker_incarnation_ != incarnation)) {
+    return std::nullopt;
+  }
+  return it->second.is_allowed_;
+}
+
 Job::Job(JobRecord record, ProgressRecord progress, bool is_recovered)
     : record_(std::move(record)),
       progress_(std::move(progress)),
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -68,6 +68,14 @@
   Millis expires_ms_ = 0;
 };
 
+// The advice service's answer for one step on one worker. It never changes, but
+// a worker that was not up when the service was asked is not named as allowed,
+// so a refusal holds only for the worker's incarnation.
+struct WorkerAdvice {
+  bool is_allowed_ = false;
+  std::int64_t worker_incarnation_ = 0;
+};
+
 // State of one step of one occurrence of a job.
 struct StepRun {
   Job* job_ = nullptr;
@@ -80,9 +88,8 @@
   int waiting_count_ = 0;
   // True once all steps that this one depends on are done.
   bool is_ready_ = false;
-  // By worker id: whether the advice service allows the step on a worker that
-  // it was asked about. Its answers never change for a step.
-  std::map<std::string, bool> advice_by_worker_;
+  // By worker id: the advice service's answers about workers.
+  std::map<std::string, WorkerAdvice> advice_by_worker_;
   // By worker id.
   std::map<std::string, StepTicket> tickets_;
   bool is_advice_pending_ = false;
@@ -107,6 +114,10 @@
     return done_count_ == static_cast<int>(tasks_.size());
   }
   auto TaskIdAt(int index) const -> TaskId;
+  // Returns whether the advice service allows the step on the worker; nullopt
+  // if that is not known.
+  auto IsAllowedOn(const std::string& worker, std::int64_t incarnation) const
+      -> std::optional<bool>;
 };
 
 // An accepted job with the state of its occurrences, steps and tasks.
--- a/testing/fleet_worker_test.cc
+++ b/testing/fleet_worker_test.cc
@@ -97,4 +97,16 @@
   BOOST_TEST(!worker.IsUsable(kNowMs + 1700, true));
 }
 
+// Guards against LOST: a step that never asks again about a worker that was
+// down when the advice service was asked.
+BOOST_AUTO_TEST_CASE(a_refusal_of_advice_ends_with_the_workers_life) {
+  StepRun step;
+  step.advice_by_worker_["w-1"] = {false, 7};
+  step.advice_by_worker_["w-2"] = {true, 7};
+  BOOST_TEST((step.IsAllowedOn("w-1", 7) == std::optional<bool>(false)));
+  BOOST_TEST(!step.IsAllowedOn("w-1", 8).has_value());
+  BOOST_TEST((step.IsAllowedOn("w-2", 8) == std::optional<bool>(true)));
+  BOOST_TEST(!step.IsAllowedOn("w-3", 7).has_value());
+}
+
 }  // namespace lentilscale::fleet
