--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -264,6 +264,9 @@
   // Removes lost runs and departed workers, and sends due stop orders and Hold
   // calls.
   auto CheckWorkers(Millis now_ms) -> void;
+  // Returns when the leases of all unclaimed workers will have expired; 0 if
+  // there is none.
+  auto TakeOverEndMs() const -> Millis;
   // Returns true if the task cannot be running on a worker that has not
   // answered since this instance took over.
   auto IsKnownNotRunning(const std::string& service,
@@ -284,6 +287,10 @@
   };
   auto OrderWaitingSteps() -> std::vector<WaitingStep>;
   auto SummarizeServices(Millis now_ms) -> void;
+  // Returns true if the step has waited too long to heed that workers are
+  // exclusive to other steps.
+  auto MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
+                            Millis now_ms) -> bool;
   // Returns true if the pass can neither place a task of the step nor make a
   // worker exclusive to it. This cheap check skips most steps when the fleet is
   // full; it may return false for a step that cannot be placed.
@@ -308,13 +315,16 @@
                             Millis now_ms) -> void;
   auto AddPendingAdvice(StepRun& step, const Queue& queue, int task_count)
       -> void;
+  // Requests tickets for tasks that may be placed once the take-over is over.
+  auto AddAdviceForTakeOver(StepRun& step, const Queue& queue, int task_count,
+                            Millis now_ms) -> void;
   auto RequestPendingAdvice(Millis now_ms) -> void;
   auto AddAllServiceWorkers(const StepRun& step, const Queue& queue,
                             std::vector<std::string>& asked) const -> void;
   auto RequestAdvice(StepRun& step, const Queue& queue, int task_count,
                      Millis now_ms) -> void;
   auto OnAdvice(const std::string& job, std::int64_t occurrence, int step,
-                const std::vector<std::string>& asked,
+                const std::map<std::string, std::int64_t>& asked,
                 const AdviceResult& result) -> void;
   auto StartTask(StepRun& step, int index, FleetWorker& worker,
                  std::int64_t run, Millis now_ms) -> void;
@@ -366,12 +376,16 @@
   std::vector<PendingAdvice> pending_advice_;
   // The workers of one service at the start of the current placement pass.
   struct ServiceSummary {
+    // Usable at least for long-running tasks.
     std::vector<FleetWorker*> usable_workers_;
     // For each resource separately: the largest free amount on a usable worker,
     // and the smallest nonzero capacity of any worker.
     Resources max_free_;
     Resources min_capacity_;
     std::size_t worker_count_ = 0;
+    // Sums over all workers.
+    Resources capacity_;
+    Resources used_;
     // Workers that the current pass has made exclusive to large tasks.
     std::size_t exclusive_workers_ = 0;
   };
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -23,11 +23,6 @@
 // An entry expires after three heartbeats without an update. One that vanishes
 // within this many heartbeats of its last update was deleted by the worker.
 constexpr Millis kFreshHeartbeats = 2;
-// Number of jobs with a failed run, without a successful run in between, at
-// which a worker is quarantined.
-constexpr std::size_t kQuarantineFailures = 2;
-constexpr Millis kMinQuarantineMs = 1500;
-constexpr Millis kMaxQuarantineMs = 6000;
 
 }  // namespace
 
@@ -120,18 +115,8 @@
 auto Dispatcher::UpdateQuarantine(FleetWorker& worker, const std::string& job,
                                   RunEnd end, Millis now_ms) -> void {
   if (end == RunEnd::kDone) {
-    worker.failed_jobs_.clear();
-    worker.quarantine_ms_ = 0;
-    return;
-  }
-  if (end != RunEnd::kFailed) {
-    return;
-  }
-  worker.failed_jobs_.insert(job);
-  if (worker.failed_jobs_.size() >= kQuarantineFailures) {
-    worker.quarantine_ms_ = std::clamp(worker.quarantine_ms_ * 2,
-                                       kMinQuarantineMs, kMaxQuarantineMs);
-    worker.quarantined_until_ms_ = now_ms + worker.quarantine_ms_;
+    worker.ForgetFailures();
+  } else if (end == RunEnd::kFailed && worker.CountFailure(job, now_ms)) {
     LogEvent(Event::kFleetWorkerQuarantined,
              {{"worker", worker.entry_.id_},
               {"failed_jobs", std::to_string(worker.failed_jobs_.size())},
@@ -214,6 +199,14 @@
   RequestPlacementPass();
 }
 
+auto Dispatcher::TakeOverEndMs() const -> Millis {
+  Millis end_ms = 0;
+  for (const auto& [id, worker] : unclaimed_workers_) {
+    end_ms = std::max(end_ms, worker.lease_expiry_ms_);
+  }
+  return end_ms;
+}
+
 auto Dispatcher::IsKnownNotRunning(const std::string& service,
                                    const std::string& task) const -> bool {
   return is_worker_list_read_ &&
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -12,6 +12,14 @@
 constexpr Millis kLeaseExpiryMarginMs = 50;
 // Consecutive failed Hold calls after which a worker gets no new tasks.
 constexpr int kHoldFailureLimit = 1;
+// Number of jobs with a failed run, without a successful run in between, at
+// which a worker is quarantined.
+constexpr std::size_t kQuarantineFailures = 2;
+constexpr Millis kMinQuarantineMs = 1500;
+constexpr Millis kMaxQuarantineMs = 6000;
+// Failures on a worker that are further apart have nothing to do with each
+// other; those after the longest quarantine do.
+constexpr Millis kFailureMemoryMs = 10000;
 
 }  // namespace
 
@@ -69,18 +77,50 @@
   return it == runs_.end() ? nullptr : &it->second;
 }
 
-auto FleetWorker::IsUsable(Millis now_ms) const -> bool {
+auto FleetWorker::CountFailure(const std::string& job, Millis now_ms) -> bool {
+  if (now_ms - last_failure_ms_ > kFailureMemoryMs) {
+    ForgetFailures();
+  }
+  last_failure_ms_ = now_ms;
+  const auto is_first_of_job = failed_jobs_.insert(job).second;
+  if (failed_jobs_.size() < kQuarantineFailures ||
+      (now_ms < quarantined_until_ms_ && !is_first_of_job)) {
+    return false;
+  }
+  quarantine_ms_ =
+      std::clamp(quarantine_ms_ * 2, kMinQuarantineMs, kMaxQuarantineMs);
+  quarantined_until_ms_ = now_ms + quarantine_ms_;
+  return true;
+}
+
+auto FleetWorker::ForgetFailures() -> void {
+  failed_jobs_.clear();
+  quarantine_ms_ = 0;
+}
+
+auto FleetWorker::IsEntryCurrent() const -> bool {
+  return entry_.incarnation_ == 0 || entry_.incarnation_ == incarnation_;
+}
+
+auto FleetWorker::QuarantineEndMs(bool is_long_running) const -> Millis {
+  return is_long_running ? std::min(quarantined_until_ms_,
+                                    last_failure_ms_ + kMinQuarantineMs)
+                         : quarantined_until_ms_;
+}
+
+auto FleetWorker::IsUsable(Millis now_ms, bool is_long_running) const -> bool {
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
-         !entry_.is_draining_ && clock_updated_ms_ != 0 &&
+         IsEntryCurrent() && !entry_.is_draining_ && clock_updated_ms_ != 0 &&
          hold_failures_ < kHoldFailureLimit && unknown_demand_runs_ == 0 &&
-         now_ms >= no_starts_until_ms_ && now_ms >= quarantined_until_ms_;
+         now_ms >= no_starts_until_ms_ &&
+         now_ms >= QuarantineEndMs(is_long_running);
 }
 
-auto FleetWorker::FreeCapacityFor(const std::string& step_name,
-                                  int priority) const -> Resources {
+auto FleetWorker::FreeCapacityFor(const std::string& step_name, int priority,
+                                  bool ignores_exclusivity) const -> Resources {
   auto free = entry_.capacity_;
   if (!exclusive_for_.empty() && exclusive_for_ != step_name &&
-      priority >= exclusive_priority_) {
+      priority >= exclusive_priority_ && !ignores_exclusivity) {
     return {0, -1, -1, -1};
   }
   free -= used_;
@@ -106,6 +146,16 @@
   return next;
 }
 
+auto FleetWorker::CapacityOnceEnded() const -> Resources {
+  auto free = entry_.capacity_;
+  for (const auto& [key, run] : runs_) {
+    if (run.is_long_running_ && run.phase_ != PlacedRun::Phase::kStopping) {
+      free -= run.demand_;
+    }
+  }
+  return free;
+}
+
 auto FleetWorker::TimeUntilFitsMs(const Resources& demand, Millis now_ms) const
     -> Millis {
   auto free = entry_.capacity_;
