Test lease reports that come late, are passed on or are meant for another owner

With one case, changes of the product went unnoticed that ignore a report after the successor's reads, or accept one of any epoch. The emulated store can hold its watches back, so that an owner hears of its successor late. Still unnoticed: a report of silent workers alone, sent once, or not repeated when the owner record changes.

--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -139,6 +139,18 @@
     return *answer;
   }
 
+  // Calls an instance at its address for peers.
+  auto CallAt(const std::string& address, const std::string& path,
+              const std::string& body) -> Answer {
+    std::optional<Answer> answer;
+    client_->Send({address, "POST", path, body, "", 1000},
+                  [&](const HttpResult& result) {
+                    answer = Answer{result.status_, result.body_};
+                  });
+    BOOST_REQUIRE(RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
   // Hands a job in at `node` on a connection of its own and returns the whole
   // answer as it was sent.
   auto RawSubmit(std::size_t node, const std::string& id) -> std::string {
@@ -631,9 +643,13 @@
   fleet.CheckPromises();
 }
 
-// Guards against a lasting task that stays down because each new owner waits
-// anew for a lease that the previous owner knows to expire earlier.
-BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
+constexpr auto kOtherJob = "00000000000000a2";
+
+// Cuts off the workers of two lasting tasks of different services, the first
+// well before the second, and has the owner replaced by `hand_over`. The tasks
+// must be started again in the order in which the leases expire; a successor
+// that waits anew would start them at the same time.
+auto CheckRestartsAfter(const std::function<void(Fleet&)>& hand_over) -> void {
   Fleet fleet;
   const auto route = [](const char* name, const char* service, int priority) {
     return fmt::format(
@@ -651,8 +667,7 @@
   for (const auto* id : {"j-0", "j-1"}) {
     fleet.platform().AddWorker(id, "t", 4000, 4);
   }
-  fleet.Start(2, 2);
-  constexpr auto kOtherJob = "00000000000000a2";
+  fleet.Start(3, 2);
   constexpr auto kBody =
       R"({"spec":"ms=0","steps":[{"count":1,"cpu":1000,"long_running":true}]})";
   for (const auto* path : {"/q/00000000000000a1", "/p/00000000000000a2"}) {
@@ -672,7 +687,7 @@
   // The second lease is granted this much later than the first.
   fleet.RunFor(2500);
   cut_busy_worker({"j-0", "j-1"});
-  fleet.node(fleet.OwnerNode()).Drain([] {});
+  hand_over(fleet);
   BOOST_TEST(
       fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
   // Orders of the same placement pass arrive within this time.
@@ -683,6 +698,72 @@
   fleet.CheckPromises();
 }
 
+// Drains the owner and waits until another instance has claimed.
+auto HandOver(Fleet& fleet) -> void {
+  const auto owner = fleet.OwnerNode();
+  fleet.node(owner).Drain([] {});
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return !fleet.platform().store().Get("ls/owner").empty() &&
+           fleet.OwnerNode() != owner;
+  }));
+}
+
+// Guards against a lasting task that stays down because each new owner waits
+// anew for a lease that the previous owner knows to expire earlier.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
+  CheckRestartsAfter(HandOver);
+}
+
+// Guards against the same if the report comes after the successor's reads.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_as_a_late_report_says) {
+  CheckRestartsAfter([](Fleet& fleet) {
+    fleet.platform().store().SetWatchesDeaf(true);
+    HandOver(fleet);
+    fleet.RunFor(300);
+    fleet.platform().store().SetWatchesDeaf(false);
+  });
+}
+
+// Guards against the same if the successor is replaced while it still waits.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_as_an_earlier_owner_said) {
+  CheckRestartsAfter([](Fleet& fleet) {
+    HandOver(fleet);
+    // The third instance reports to the new owner.
+    fleet.RunFor(700);
+    HandOver(fleet);
+  });
+}
+
+// Guards against a second run of a task because an owner believes a report that
+// was meant for an earlier one.
+BOOST_AUTO_TEST_CASE(a_report_for_an_earlier_owner_is_ignored) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  for (const auto* id : {"i-0", "i-1"}) {
+    auto& worker = fleet.platform().worker(id);
+    worker.SetCut(worker.running_count() > 0);
+  }
+  HandOver(fleet);
+  // The successor has read its state and has its predecessor's report.
+  fleet.RunFor(300);
+  const auto record = ParseJson(fleet.platform().store().Get("ls/owner"));
+  const auto body =
+      fmt::format(R"({{"epoch":{},"left_ms":{{"i-0":0,"i-1":0}}}})",
+                  record["epoch"].asInt64() - 2);
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return fleet.CallAt(record["address"].asString(), "/peer/leases", body)
+               .status_ == 200;
+  }));
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -277,6 +277,9 @@
 }
 
 auto EmulatedStore::AnswerWatchers() -> void {
+  if (is_deaf_) {
+    return;
+  }
   const auto now = MonotonicMs();
   std::vector<Watcher> open;
   for (auto& watcher : watchers_) {
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -58,6 +58,8 @@
     late_transactions_ = count;
     late_ms_ = delay_ms;
   }
+  // While true, no watch returns, whatever is written.
+  auto SetWatchesDeaf(bool is_deaf) -> void { is_deaf_ = is_deaf; }
   // Forgets all history, so that watches must read anew.
   auto DropHistory() -> void;
 
@@ -119,6 +121,7 @@
   std::vector<Entrance> entrances_;
   std::string address_;
   Mode mode_ = Mode::kUp;
+  bool is_deaf_ = false;
   int answers_to_lose_ = 0;
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
