Add a failing test of leases that are granted after the successor's claim

Cause: a draining owner that does not hear of the claim (its watch is held back) goes on for up to 1.2 s; the successor counts 5.6 s from its claim, which allows for 0.5 s.

--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -764,6 +764,49 @@
   fleet.CheckPromises();
 }
 
+// Guards against a second run of a task whose lease the previous owner renewed
+// after the claim of its successor, which it had not heard of.
+BOOST_AUTO_TEST_CASE(a_successor_waits_for_leases_granted_after_its_claim) {
+  Fleet fleet;
+  auto& store = fleet.platform().store();
+  const std::array entrances{store.AddEntrance(), store.AddEntrance()};
+  for (const auto* id : {"i-0", "i-1"}) {
+    fleet.platform().AddWorker(id, "s", 4000, 4);
+  }
+  for (const auto entrance : entrances) {
+    const auto node = fleet.AddNode(store.entrance_address(entrance));
+    BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.Ready(node); }));
+  }
+  fleet.Start(0, 0);
+  const auto owner = fleet.OwnerNode();
+  const auto successor = 1 - owner;
+  constexpr auto kLasting = R"(,"long_running":true)";
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(owner, kJob, "ms=0", {{1, 1000, 0, kLasting}}), 200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  auto& busy = fleet.platform().worker(
+      fleet.platform().worker("i-0").running_count() > 0 ? "i-0" : "i-1");
+  // The owner hands over to an instance that has reported to it.
+  fleet.RunFor(600);
+  store.SetWatchesDeaf(true);
+  HandOver(fleet);
+  // The successor can neither read its state nor send orders meanwhile.
+  store.SetEntranceRefusing(entrances[successor], true);
+  fleet.RunFor(950);
+  // The orders for these tasks carry new leases to both workers.
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(owner, kOtherJob, "ms=0", {{2, 3000, 0, kLasting}}), 200);
+  BOOST_REQUIRE(fleet.RunUntil(
+      [&] { return fleet.platform().RunningOf(kOtherJob) == 2; }));
+  busy.SetCut(true);
+  store.SetWatchesDeaf(false);
+  store.SetEntranceRefusing(entrances[successor], false);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
