Add a failing test of a lease by the clock of a worker's former life

Cause: a worker that starts again under its id begins its clock anew. Until a Hold answers, orders carry lease ends by the former clock, which the worker only shortens to its own limit of 10 s; the owner counts 5 s.

--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -807,6 +807,26 @@
   fleet.CheckPromises();
 }
 
+// Guards against a second run of a task whose lease was granted by the clock of
+// the worker's former life and is therefore longer than the owner assumes.
+BOOST_AUTO_TEST_CASE(a_lease_by_the_clock_of_a_former_life_is_waited_for) {
+  Fleet fleet;
+  fleet.Start(1, 1);
+  fleet.RunFor(3000);
+  auto& worker = fleet.platform().worker("i-0");
+  worker.Restart();
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  worker.SetCut(true);
+  fleet.platform().AddWorker("i-1", "s", 4000, 4);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
