Add a failing test of a queue that was sent to another service

Cause: IsKnownNotRunning looks at the unanswered workers of the service that the newest configuration names; the task may run on one of a former service.

--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -58,7 +58,7 @@
 
   auto Configure(const std::string& keys = R"(["key-a"])",
                  const std::string& limit = "{}", bool has_advice = false,
-                 int priority = 1) -> void {
+                 int priority = 1, const std::string& service = "s") -> void {
     const auto advice =
         has_advice
             ? R"(,"advice":{"decide_ms":20.0,"period_ms":0.5,"valid_ms":2000})"
@@ -67,11 +67,11 @@
         "op/config",
         fmt::format(
             R"({{"version":{},"routes":[{{"name":"q","host":"h.example",)"
-            R"("prefix":"/q/","service":"s","priority":{},"max_attempts":3,)"
+            R"("prefix":"/q/","service":"{}","priority":{},"max_attempts":3,)"
             R"("stretch":2.0,"target_duration_ms":300,"public":false{}}}],)"
             R"("services":[],"limits":{{}},"tenants":[{{"name":"a",)"
             R"("api_keys":{},"weight":1,"max_count":{}}}]}})",
-            ++version_, priority, advice, keys, limit));
+            ++version_, service, priority, advice, keys, limit));
   }
 
   // Adds an instance that reaches the store at `store_address`, or at its usual
@@ -827,6 +827,27 @@
   fleet.CheckPromises();
 }
 
+// Guards against a second run of a task whose queue was sent to another service
+// before the owner changed: the task may run on a worker of the former service.
+BOOST_AUTO_TEST_CASE(a_successor_waits_for_workers_of_a_former_service) {
+  Fleet fleet;
+  fleet.platform().AddWorker("j-0", "t", 4000, 4);
+  fleet.Start(2, 1);
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  fleet.Configure(R"(["key-a"])", "{}", false, 1, "t");
+  // The instances read the configuration, and report to the owner.
+  fleet.RunFor(700);
+  fleet.platform().worker("i-0").SetCut(true);
+  HandOver(fleet);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
