--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -58,7 +58,7 @@
 
   auto Configure(const std::string& keys = R"(["key-a"])",
                  const std::string& limit = "{}", bool has_advice = false,
-                 int priority = 1) -> void {
+                 int priority = 1, const std::string& service = "s") -> void {
     const auto advice =
         has_advice
             ? R"(,"advice":{"decide_ms":20.0,"period_ms":0.5,"valid_ms":2000})"
@@ -67,11 +67,11 @@
         "op/config",
         fmt::format(
             R"({{"version":{},"routes":[{{"name":"q","host":"h.example",)"
-            R"("prefix":"/q/","service":"s","priority":{},"max_attempts":3,)"
+            R"("prefix":"/q/","service":"{}","priority":{},"max_attempts":3,)"
             R"("stretch":2.0,"target_duration_ms":300,"public":false{}}}],)"
             R"("services":[],"limits":{{}},"tenants":[{{"name":"a",)"
             R"("api_keys":{},"weight":1,"max_count":{}}}]}})",
-            ++version_, priority, advice, keys, limit));
+            ++version_, service, priority, advice, keys, limit));
   }
 
   // Adds an instance that reaches the store at `store_address`, or at its usual
@@ -139,6 +139,18 @@
     return *answer;
   }
 
+  // Calls an instance at its address for peers.
+  auto CallAt(const std::string& address, const std::string& path,
+              const std::string& body) -> Answer {
+    std::optional<Answer> answer;
+    client_->Send({address, "POST", path, body, "", 1000},
+                  [&](const HttpResult& result) {
+                    answer = Answer{result.status_, result.body_};
+                  });
+    BOOST_REQUIRE(RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
   // Hands a job in at `node` on a connection of its own and returns the whole
   // answer as it was sent.
   auto RawSubmit(std::size_t node, const std::string& id) -> std::string {
@@ -663,9 +675,13 @@
   fleet.CheckPromises();
 }
 
-// Guards against a lasting task that stays down because each new owner waits
-// anew for a lease that the previous owner knows to expire earlier.
-BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
+constexpr auto kOtherJob = "00000000000000a2";
+
+// Cuts off the workers of two lasting tasks of different services, the first
+// well before the second, and has the owner replaced by `hand_over`. The tasks
+// must be started again in the order in which the leases expire; a successor
+// that waits anew would start them at the same time.
+auto CheckRestartsAfter(const std::function<void(Fleet&)>& hand_over) -> void {
   Fleet fleet;
   const auto route = [](const char* name, const char* service, int priority) {
     return fmt::format(
@@ -683,8 +699,7 @@
   for (const auto* id : {"j-0", "j-1"}) {
     fleet.platform().AddWorker(id, "t", 4000, 4);
   }
-  fleet.Start(2, 2);
-  constexpr auto kOtherJob = "00000000000000a2";
+  fleet.Start(3, 2);
   constexpr auto kBody =
       R"({"spec":"ms=0","steps":[{"count":1,"cpu":1000,"long_running":true}]})";
   for (const auto* path : {"/q/00000000000000a1", "/p/00000000000000a2"}) {
@@ -704,7 +719,7 @@
   // The second lease is granted this much later than the first.
   fleet.RunFor(2500);
   cut_busy_worker({"j-0", "j-1"});
-  fleet.node(fleet.OwnerNode()).Drain([] {});
+  hand_over(fleet);
   BOOST_TEST(
       fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
   // Orders of the same placement pass arrive within this time.
@@ -715,6 +730,183 @@
   fleet.CheckPromises();
 }
 
+// Drains the owner and waits until another instance has claimed.
+auto HandOver(Fleet& fleet) -> void {
+  const auto owner = fleet.OwnerNode();
+  fleet.node(owner).Drain([] {});
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return !fleet.platform().store().Get("ls/owner").empty() &&
+           fleet.OwnerNode() != owner;
+  }));
+}
+
+// Guards against a lasting task that stays down because each new owner waits
+// anew for a lease that the previous owner knows to expire earlier.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_until_known_leases_expire) {
+  CheckRestartsAfter(HandOver);
+}
+
+// Guards against the same if the report comes after the successor's reads.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_as_a_late_report_says) {
+  CheckRestartsAfter([](Fleet& fleet) {
+    fleet.platform().store().SetWatchesDeaf(true);
+    HandOver(fleet);
+    fleet.RunFor(300);
+    fleet.platform().store().SetWatchesDeaf(false);
+  });
+}
+
+// Guards against the same if the successor is replaced while it still waits.
+BOOST_AUTO_TEST_CASE(a_successor_waits_only_as_an_earlier_owner_said) {
+  CheckRestartsAfter([](Fleet& fleet) {
+    HandOver(fleet);
+    // The third instance reports to the new owner.
+    fleet.RunFor(700);
+    HandOver(fleet);
+  });
+}
+
+// Guards against a second run of a task because an owner believes a report that
+// was meant for an earlier one.
+BOOST_AUTO_TEST_CASE(a_report_for_an_earlier_owner_is_ignored) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  for (const auto* id : {"i-0", "i-1"}) {
+    auto& worker = fleet.platform().worker(id);
+    worker.SetCut(worker.running_count() > 0);
+  }
+  HandOver(fleet);
+  // The successor has read its state and has its predecessor's report.
+  fleet.RunFor(300);
+  const auto record = ParseJson(fleet.platform().store().Get("ls/owner"));
+  const auto body =
+      fmt::format(R"({{"epoch":{},"left_ms":{{"i-0":0,"i-1":0}}}})",
+                  record["epoch"].asInt64() - 2);
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return fleet.CallAt(record["address"].asString(), "/peer/leases", body)
+               .status_ == 200;
+  }));
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
+// Guards against a second run of a task whose lease the previous owner renewed
+// after the claim of its successor, which it had not heard of.
+BOOST_AUTO_TEST_CASE(a_successor_waits_for_leases_granted_after_its_claim) {
+  Fleet fleet;
+  auto& store = fleet.platform().store();
+  const std::array entrances{store.AddEntrance(), store.AddEntrance()};
+  for (const auto* id : {"i-0", "i-1"}) {
+    fleet.platform().AddWorker(id, "s", 4000, 4);
+  }
+  for (const auto entrance : entrances) {
+    const auto node = fleet.AddNode(store.entrance_address(entrance));
+    BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.Ready(node); }));
+  }
+  fleet.Start(0, 0);
+  const auto owner = fleet.OwnerNode();
+  const auto successor = 1 - owner;
+  constexpr auto kLasting = R"(,"long_running":true)";
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(owner, kJob, "ms=0", {{1, 1000, 0, kLasting}}), 200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  auto& busy = fleet.platform().worker(
+      fleet.platform().worker("i-0").running_count() > 0 ? "i-0" : "i-1");
+  // The owner hands over to an instance that has reported to it.
+  fleet.RunFor(600);
+  store.SetWatchesDeaf(true);
+  HandOver(fleet);
+  // The successor can neither read its state nor send orders meanwhile.
+  store.SetEntranceRefusing(entrances[successor], true);
+  fleet.RunFor(950);
+  // The orders for these tasks carry new leases to both workers.
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(owner, kOtherJob, "ms=0", {{2, 3000, 0, kLasting}}), 200);
+  BOOST_REQUIRE(fleet.RunUntil(
+      [&] { return fleet.platform().RunningOf(kOtherJob) == 2; }));
+  busy.SetCut(true);
+  store.SetWatchesDeaf(false);
+  store.SetEntranceRefusing(entrances[successor], false);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
+// Guards against a second run of a task whose lease was granted by the clock of
+// the worker's former life and is therefore longer than the owner assumes.
+BOOST_AUTO_TEST_CASE(a_lease_by_the_clock_of_a_former_life_is_waited_for) {
+  Fleet fleet;
+  fleet.Start(1, 1);
+  fleet.RunFor(3000);
+  auto& worker = fleet.platform().worker("i-0");
+  worker.Restart();
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  worker.SetCut(true);
+  fleet.platform().AddWorker("i-1", "s", 4000, 4);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
+// Guards against a second run of a task whose queue was sent to another service
+// before the owner changed: the task may run on a worker of the former service.
+BOOST_AUTO_TEST_CASE(a_successor_waits_for_workers_of_a_former_service) {
+  Fleet fleet;
+  fleet.platform().AddWorker("j-0", "t", 4000, 4);
+  fleet.Start(2, 1);
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  fleet.Configure(R"(["key-a"])", "{}", false, 1, "t");
+  // The instances read the configuration, and report to the owner.
+  fleet.RunFor(700);
+  fleet.platform().worker("i-0").SetCut(true);
+  HandOver(fleet);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
+// Guards against a lasting task that is not started again because its queue was
+// removed from the configuration before the owner changed.
+BOOST_AUTO_TEST_CASE(a_successor_restarts_tasks_of_a_removed_queue) {
+  Fleet fleet;
+  fleet.Start(2, 2);
+  BOOST_REQUIRE_EQUAL(
+      fleet.Submit(0, kJob, "ms=0", {{1, 1000, 0, R"(,"long_running":true)"}}),
+      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 1; }));
+  fleet.platform().store().Put(
+      "op/config",
+      R"({"version":9,"routes":[],"services":[],"limits":{},"tenants":[]})");
+  // The instances read the configuration, and report to the owner.
+  fleet.RunFor(700);
+  if (getenv("RV_NO_HANDOVER") == nullptr) {
+    HandOver(fleet);
+    fleet.RunFor(300);
+  }
+  for (const auto* id : {"i-0", "i-1"}) {
+    fleet.platform().worker(id).Restart();
+  }
+  BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.platform().StartsOf(kJob) == 2; }));
+  fleet.CheckPromises();
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside) {
   Fleet fleet;
   fleet.Start(1, 3);
