--- a/fleet/client_api.h
+++ b/fleet/client_api.h
@@ -41,7 +41,8 @@
 // Calls to the owner of the fleet, which is this process or a peer. Queries
 // call back with nullopt if the owner does not know or does not answer.
 struct OwnerClient {
-  std::function<void(const JobRecord&)> notify_job_;
+  // `revision` is that of the job's record in the store.
+  std::function<void(const JobRecord&, std::int64_t revision)> notify_job_;
   std::function<void(const std::string& id)> notify_cancel_;
   std::function<void(const std::string& id,
                      std::function<void(std::optional<JobState>)>)>
@@ -89,8 +90,9 @@
   auto ReplyWithState(const std::string& id, Reply reply) -> void;
   auto ReplyWithStoredState(const std::string& id, Reply reply) -> void;
   auto CancelJob(const std::string& id, Reply reply) -> void;
-  auto CommitCancel(const std::string& id, Millis deadline_ms, Reply reply)
-      -> void;
+  // Stores the cancellation of the job whose record has `job_revision`.
+  auto CommitCancel(const std::string& id, std::int64_t job_revision,
+                    Millis deadline_ms, Reply reply) -> void;
   auto ReplyWithPending(const Queue& queue, Reply reply) -> void;
   // Returns true if a write got no answer and the store has answered no
   // configuration call sent since.
--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -2,10 +2,11 @@
 // workers, a pass over all waiting steps takes well under a millisecond, and
 // passes are coalesced.
 //
-// Jobs that were accepted before the claim are marked as recovered. Their tasks
-// may be running on a worker that has not answered yet. Each is placed only
-// once every worker that may be running it has answered or its lease must have
-// expired.
+// A previous owner may have started tasks of any job that is inserted while one
+// of its workers has not answered, also of a job that was accepted after the
+// claim: it goes on until it learns of the claim. Each of these tasks is placed
+// only once every worker that may be running it has answered or its lease must
+// have expired.
 
 #include "fleet/dispatcher.h"
 
@@ -29,6 +30,9 @@
 constexpr Millis kPurgeBatchPauseMs = 100;
 // Jobs in a batch; three keys for each stay within the limit of a transaction.
 constexpr std::size_t kPurgeBatchSize = 10;
+// A previous owner that does not know of the claim loses its rights within this
+// time: its lease ends, its hand-over times out, or its peers' reports expire.
+constexpr Millis kPreviousRightsMs = 2000;
 
 }  // namespace
 
@@ -44,6 +48,7 @@
       claim_(claim),
       options_(options),
       hooks_(std::move(hooks)),
+      previous_rights_end_ms_(claim.claimed_ms_ + kPreviousRightsMs),
       recorder_(
           loop, store, claim.owner_revision_,
           {[this](const std::string& key) { return SerializeRecord(key); },
@@ -66,15 +71,22 @@
   return count;
 }
 
-auto Dispatcher::AddJob(const JobRecord& record) -> void {
+auto Dispatcher::AddJob(const JobRecord& record, std::int64_t revision)
+    -> void {
   // Until the state is read the job's progress is unknown; the watch of the
   // inbox delivers the job afterwards.
   if (is_state_read_) {
-    InsertJob(record, false);
+    InsertJob(record, revision, false);
   }
 }
 
-auto Dispatcher::InsertJob(const JobRecord& record, bool is_recovered) -> void {
+auto Dispatcher::MayBeRunning(std::int64_t revision) const -> bool {
+  return !unclaimed_workers_.empty() && (!rights_end_revision_.has_value() ||
+                                         revision <= *rights_end_revision_);
+}
+
+auto Dispatcher::InsertJob(const JobRecord& record, std::int64_t job_revision,
+                           bool is_recovered) -> void {
   if (jobs_.contains(record.id_)) {
     return;
   }
@@ -91,7 +103,8 @@
     }
     revision = it->second.revision_;
   }
-  auto job = std::make_unique<Job>(record, progress, is_recovered);
+  auto job = std::make_unique<Job>(record, progress,
+                                   is_recovered || MayBeRunning(job_revision));
   recorder_.SetRevision(ProgressKey(record.id_), revision);
   if (job->IsEnded()) {
     job->is_end_recorded_ = true;
@@ -107,11 +120,11 @@
             {"epoch", std::to_string(claim_.epoch_)}});
   if (unmatched_cancels_.erase(record.id_) > 0) {
     CancelJob(record.id_);
-    return;
   }
   for (auto* step : inserted->CreateDueOccurrences(WallMs(), BootMs())) {
     EnqueueStep(*step);
   }
+  MatchReports(record.id_, false);
 }
 
 auto Dispatcher::CancelJob(const std::string& id) -> void {
@@ -288,8 +301,9 @@
 auto Dispatcher::AdvanceDurableEnds(FleetWorker& worker) -> bool {
   while (!worker.unrecorded_ends_.empty()) {
     const auto& end = worker.unrecorded_ends_.front();
-    if (!end.record_key_.empty() &&
-        !recorder_.IsDurable(end.record_key_, end.record_version_)) {
+    if (end.unmatched_.has_value() ||
+        (!end.record_key_.empty() &&
+         !recorder_.IsDurable(end.record_key_, end.record_version_))) {
       return false;
     }
     worker.last_recorded_end_ = end.number_;
@@ -307,6 +321,7 @@
       for (auto* step : job->CreateDueOccurrences(wall, now)) {
         EnqueueStep(*step);
       }
+      MatchReports(id, false);
     }
   }
 }
@@ -348,6 +363,8 @@
   const auto now = BootMs();
   CreateDueOccurrences();
   CheckWorkers(now);
+  CheckUnmatchedJobs(now);
+  ReadRightsEndRevision(now);
   if (now >= next_worker_read_ms_ && !is_reading_workers_) {
     ReadWorkers();
   }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -52,6 +52,9 @@
   std::int64_t epoch_ = 0;
   std::int64_t owner_revision_ = 0;
   Millis claimed_ms_ = 0;
+  // True if the lease of the previous owner had not expired, so that it may go
+  // on until it learns of the claim.
+  bool has_replaced_owner_ = false;
 };
 
 struct DispatcherOptions {
@@ -91,7 +94,8 @@
   auto operator=(const Dispatcher&) -> Dispatcher& = delete;
 
   // Adds a job that the store holds; a job that is known already is ignored.
-  auto AddJob(const JobRecord& record) -> void;
+  // `revision` is that of the job's record in the store, 0 if it is not known.
+  auto AddJob(const JobRecord& record, std::int64_t revision) -> void;
   // Applies a cancellation that the store holds.
   auto CancelJob(const std::string& id) -> void;
 
@@ -108,12 +112,16 @@
   // will have expired (BootMs) if this dispatcher grants no more. The caller
   // must have given up the rights.
   auto LeaseExpiries() const -> std::map<std::string, Millis>;
-  // Shortens the wait for workers that do not answer. `expiries` are what
+  // Adjusts the wait for workers that do not answer. `expiries` are what
   // LeaseExpiries returned to the owner just before this one, as BootMs of this
   // instance.
   auto ApplyLeaseExpiries(const std::map<std::string, Millis>& expiries)
       -> void;
 
+  // Tells the dispatcher that the previous owner has lost its rights, so that
+  // it starts no more tasks.
+  auto OnPreviousRightsEnded() -> void;
+
   auto token() const -> std::int64_t { return claim_.epoch_; }
   auto worker_count() const -> std::size_t { return workers_.size(); }
   auto running_count() const -> std::size_t;
@@ -145,18 +153,48 @@
     int pending_ = 4;
   };
 
+  // A job that workers reported on and that is not known, or has an upcoming
+  // occurrence that they reported on.
+  struct UnmatchedJob {
+    bool is_reading_ = false;
+    // True if a worker has reported on the job since the read was sent.
+    bool is_reported_again_ = false;
+    Millis next_read_ms_ = 0;
+  };
+
+  // Returns the longest time for which a granted lease is valid.
+  auto LeaseDurationMs() const -> Millis;
   // Returns when the leases of an unclaimed worker have expired if the previous
   // owner has said nothing about it.
   auto DefaultLeaseExpiryMs() const -> Millis;
+  // Once the previous owner has lost its rights, reads the store's revision:
+  // jobs with a higher one are unknown to that owner.
+  auto ReadRightsEndRevision(Millis now_ms) -> void;
   auto ReadRecoveryState() -> void;
   auto OnRecoveryReads(const RecoveryReads& reads) -> void;
   auto ScheduleReadRetry() -> void;
   auto RecoverJobs() -> void;
   auto WatchInbox() -> void;
   auto ApplyInboxRecord(const Record& record, bool is_recovered) -> void;
+  // Returns true if this owner does not know the task but may learn of it: its
+  // job may be in the store, or its occurrence is not due yet by the local
+  // clock.
+  auto IsUnmatched(const TaskId& id) -> bool;
+  auto AddUnmatchedJob(const std::string& id) -> void;
+  // Reads unmatched jobs from the store.
+  auto CheckUnmatchedJobs(Millis now_ms) -> void;
+  auto ReadUnmatchedJob(const std::string& id, UnmatchedJob& job) -> void;
+  // Handles the runs and ends that were reported before their task was known.
+  // If `is_absent` is true, the store does not have the job, and they are
+  // stopped and acknowledged.
+  auto MatchReports(const std::string& job_id, bool is_absent) -> void;
 
   // dispatcher.cc
-  auto InsertJob(const JobRecord& record, bool is_recovered) -> void;
+  auto InsertJob(const JobRecord& record, std::int64_t revision,
+                 bool is_recovered) -> void;
+  // Returns true if the previous owner may have started tasks of a job whose
+  // record has `revision` on a worker that has not answered yet.
+  auto MayBeRunning(std::int64_t revision) const -> bool;
   auto Tick() -> void;
   auto CreateDueOccurrences() -> void;
   auto OnJobEnded(Job& job) -> void;
@@ -191,6 +229,10 @@
   // Handles an end in a Hold answer; one that was received before is ignored.
   auto HandleRunEnd(FleetWorker& worker, const EndedRun& end, Millis now_ms)
       -> void;
+  // Applies the end and names the record that must hold it, if its job is known
+  // and has not ended.
+  auto RecordRunEnd(FleetWorker& worker, const EndedRun& end,
+                    UnrecordedEnd& unrecorded, Millis now_ms) -> void;
   // Updates the task and its job after the end of a run.
   auto ApplyRunEnd(FleetWorker& worker, Job& job, StepRun& step,
                    const TaskId& id, const EndedRun& end, Millis now_ms)
@@ -199,7 +241,7 @@
   auto MarkOtherRunsStopping(const StepRun& step, const TaskId& id,
                              std::int64_t run) -> void;
   // Handles a run in a Hold answer. A run that is not known yet is adopted for
-  // its waiting task, or stopped.
+  // its waiting task, or stopped; if its task is unmatched, that waits.
   auto HandleRunningTask(FleetWorker& worker, const RunningTask& running,
                          Millis now_ms) -> void;
   // Removes the runs that are missing from the worker's complete list.
@@ -227,8 +269,11 @@
   // Removes lost runs and departed workers, and sends due stop orders and Hold
   // calls.
   auto CheckWorkers(Millis now_ms) -> void;
-  // Returns true if a task of a recovered job cannot be running on a worker
-  // that has not answered since this instance took over.
+  // Returns when the leases of all unclaimed workers will have expired; 0 if
+  // there is none.
+  auto TakeOverEndMs() const -> Millis;
+  // Returns true if the task cannot be running on a worker that has not
+  // answered since this instance took over.
   auto IsKnownNotRunning(const std::string& service,
                          const std::string& task) const -> bool;
   // Ends the wait for unclaimed workers whose leases have expired.
@@ -247,6 +292,10 @@
   };
   auto OrderWaitingSteps() -> std::vector<WaitingStep>;
   auto SummarizeServices(Millis now_ms) -> void;
+  // Returns true if the step has waited too long to heed that workers are
+  // exclusive to other steps.
+  auto MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
+                            Millis now_ms) -> bool;
   // Returns true if the pass can neither place a task of the step nor make a
   // worker exclusive to it. This cheap check skips most steps when the fleet is
   // full; it may return false for a step that cannot be placed.
@@ -271,13 +320,16 @@
                             Millis now_ms) -> void;
   auto AddPendingAdvice(StepRun& step, const Queue& queue, int task_count)
       -> void;
+  // Requests tickets for tasks that may be placed once the take-over is over.
+  auto AddAdviceForTakeOver(StepRun& step, const Queue& queue, int task_count,
+                            Millis now_ms) -> void;
   auto RequestPendingAdvice(Millis now_ms) -> void;
   auto AddAllServiceWorkers(const StepRun& step, const Queue& queue,
                             std::vector<std::string>& asked) const -> void;
   auto RequestAdvice(StepRun& step, const Queue& queue, int task_count,
                      Millis now_ms) -> void;
   auto OnAdvice(const std::string& job, std::int64_t occurrence, int step,
-                const std::vector<std::string>& asked,
+                const std::map<std::string, std::int64_t>& asked,
                 const AdviceResult& result) -> void;
   auto StartTask(StepRun& step, int index, FleetWorker& worker,
                  std::int64_t run, Millis now_ms) -> void;
@@ -329,12 +381,16 @@
   std::vector<PendingAdvice> pending_advice_;
   // The workers of one service at the start of the current placement pass.
   struct ServiceSummary {
+    // Usable at least for long-running tasks.
     std::vector<FleetWorker*> usable_workers_;
     // For each resource separately: the largest free amount on a usable worker,
     // and the smallest nonzero capacity of any worker.
     Resources max_free_;
     Resources min_capacity_;
     std::size_t worker_count_ = 0;
+    // Sums over all workers.
+    Resources capacity_;
+    Resources used_;
     // Workers that the current pass has made exclusive to large tasks.
     std::size_t exclusive_workers_ = 0;
   };
@@ -348,9 +404,15 @@
   std::map<std::string, Resources> team_usage_;
   // Ids of cancelled jobs that are not known yet.
   std::set<std::string> unmatched_cancels_;
+  std::map<std::string, UnmatchedJob> unmatched_jobs_;
   std::map<std::string, FleetWorker> workers_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
+  // When the previous owner has lost its rights (BootMs).
+  Millis previous_rights_end_ms_;
+  // A revision of the store at or after that time, once it has been read.
+  std::optional<std::int64_t> rights_end_revision_;
+  bool is_reading_rights_end_ = false;
   // Lease expiries from the previous owner that arrived before its record of
   // workers was read.
   std::map<std::string, Millis> early_lease_expiries_;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -41,6 +41,12 @@
 // At most one worker in this many of a service is exclusive to large tasks, but
 // always at least one may be.
 constexpr std::size_t kExclusiveWorkerDivisor = 3;
+// Exclusivity must not keep a step waiting that has to run: a task that lasts,
+// whose users notice each second, or any task while less than this share of the
+// service is in use. After this time it ends for such a step, which leaves time
+// for an advice call within the 3 s that the users allow.
+constexpr double kMaxIdleServiceShare = 0.6;
+constexpr Millis kMaxExclusiveWaitMs = 1000;
 // Score adjustments, each larger than any difference in load: a worker near the
 // data or without tasks that would be disturbed is preferred, one on which the
 // task's last run failed is avoided.
@@ -59,6 +65,28 @@
   visit(into.accelerators_, from.accelerators_);
 }
 
+// Returns how many times `demand` fits into `free`, at most `limit`.
+auto CountFitting(const Resources& demand, Resources free, int limit) -> int {
+  auto count = 0;
+  while (count < limit && demand.FitsIn(free)) {
+    free -= demand;
+    ++count;
+  }
+  return count;
+}
+
+// Returns how many more tasks of the step may run on the worker under the
+// step's limit per worker; at most `tasks`.
+auto TasksWithinWorkerLimit(const FleetWorker& worker, const StepRun& step,
+                            int tasks) -> int {
+  if (step.step_->max_per_worker_ == 0) {
+    return tasks;
+  }
+  const auto it = step.runs_per_worker_.find(worker.entry_.id_);
+  const auto runs = it == step.runs_per_worker_.end() ? 0 : it->second;
+  return std::clamp(step.step_->max_per_worker_ - runs, 0, tasks);
+}
+
 // Returns how many of a service's `workers` may be exclusive to large tasks.
 auto MaxExclusiveWorkers(std::size_t workers) -> std::size_t {
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
@@ -91,6 +119,8 @@
   SummarizeServices(now);
   for (const auto& waiting : OrderWaitingSteps()) {
     auto& step = *waiting.step_;
+    step.ignores_exclusivity_ =
+        MayIgnoreExclusivity(step, *waiting.queue_, now);
     const auto is_placed = step.step_->is_gang_
                                ? PlaceGang(step, *waiting.queue_, now)
                                : PlaceStep(step, *waiting.queue_, now);
@@ -129,13 +159,15 @@
     const auto& capacity = worker.entry_.capacity_;
     auto& service = services_[worker.entry_.service_];
     ++service.worker_count_;
+    service.capacity_ += capacity;
+    service.used_ += worker.used_;
     ForEachResource(service.min_capacity_, capacity,
                     [](std::int64_t& smallest, std::int64_t amount) {
                       if (amount > 0 && (smallest == 0 || amount < smallest)) {
                         smallest = amount;
                       }
                     });
-    if (worker.IsUsable(now_ms)) {
+    if (worker.IsUsable(now_ms, true)) {
       service.usable_workers_.push_back(&worker);
       auto free = capacity;
       free -= worker.used_;
@@ -147,6 +179,20 @@
   }
 }
 
+auto Dispatcher::MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
+                                      Millis now_ms) -> bool {
+  const auto& service = services_[queue.service_];
+  if (!step.step_->is_long_running_ &&
+      service.used_.DominantShare(service.capacity_) >= kMaxIdleServiceShare) {
+    return false;
+  }
+  return std::any_of(
+      step.tasks_.begin(), step.tasks_.end(), [&](const Task& task) {
+        return task.phase_ == Task::Phase::kWaiting &&
+               now_ms - task.waiting_since_ms_ >= kMaxExclusiveWaitMs;
+      });
+}
+
 auto Dispatcher::IsInfeasible(const StepRun& step, const Queue& queue) -> bool {
   const auto& service = services_[queue.service_];
   const auto demand = CapacityDemand(*step.step_);
@@ -162,10 +208,12 @@
 auto Dispatcher::IsEligible(const FleetWorker& worker, const StepRun& step,
                             const Queue& queue, Millis now_ms) const -> bool {
   const auto& requirements = *step.step_;
-  if (worker.entry_.service_ != queue.service_ || !worker.IsUsable(now_ms) ||
+  if (worker.entry_.service_ != queue.service_ ||
+      !worker.IsUsable(now_ms, requirements.is_long_running_) ||
       !worker.HasLabel(requirements.required_label_) ||
       !CapacityDemand(requirements)
-           .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_))) {
+           .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
+                                          step.ignores_exclusivity_))) {
     return false;
   }
   if (requirements.max_per_worker_ > 0) {
@@ -175,9 +223,9 @@
       return false;
     }
   }
-  const auto allowed = step.advice_by_worker_.find(worker.entry_.id_);
   return !queue.advice_.has_value() ||
-         allowed == step.advice_by_worker_.end() || allowed->second;
+         step.IsAllowedOn(worker.entry_.id_, worker.incarnation_)
+             .value_or(true);
 }
 
 auto Dispatcher::HasValidTicket(const FleetWorker& worker, const StepRun& step,
@@ -228,9 +276,10 @@
         !HasValidTicket(*worker, step, queue, now_ms)) {
       continue;
     }
+    const auto is_avoided =
+        worker->entry_.id_ == avoided_worker || !worker->IsUsable(now_ms);
     const auto score =
-        ScoreWorker(*worker, step) -
-        (worker->entry_.id_ == avoided_worker ? kLastFailurePenalty : 0);
+        ScoreWorker(*worker, step) - (is_avoided ? kLastFailurePenalty : 0);
     if (score > best_score) {
       best = worker;
       best_score = score;
@@ -260,7 +309,7 @@
 }
 
 auto Dispatcher::NextRunNumber(const Task& task) const -> std::int64_t {
-  return std::max(task.run_, (claim_.epoch_ - 1) * kRunsPerEpoch) + 1;
+  return std::max(task.highest_run_, (claim_.epoch_ - 1) * kRunsPerEpoch) + 1;
 }
 
 auto Dispatcher::PlaceStep(StepRun& step, const Queue& queue, Millis now_ms)
@@ -269,16 +318,16 @@
     return false;
   }
   auto unplaced = 0;
-  auto may_be_running = false;
+  auto maybe_running = 0;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
     auto& task = step.tasks_[i];
     if (task.phase_ != Task::Phase::kWaiting) {
       continue;
     }
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue.service_,
                            step.TaskIdAt(static_cast<int>(i)).ToString())) {
-      may_be_running = true;
+      ++maybe_running;
       continue;
     }
     if (!IsWithinTeamLimit(step.job_->record().team_, step.step_->demand_)) {
@@ -297,7 +346,10 @@
     MakeWorkersExclusive(step, queue, unplaced, now_ms);
     AddPendingAdvice(step, queue, unplaced);
   }
-  return unplaced == 0 && !may_be_running;
+  if (maybe_running > 0) {
+    AddAdviceForTakeOver(step, queue, maybe_running, now_ms);
+  }
+  return unplaced == 0 && maybe_running == 0;
 }
 
 auto Dispatcher::PlaceGang(StepRun& step, const Queue& queue, Millis now_ms)
@@ -308,8 +360,9 @@
     return false;
   }
   for (auto i = 0; i < count; ++i) {
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue.service_, step.TaskIdAt(i).ToString())) {
+      AddAdviceForTakeOver(step, queue, count, now_ms);
       return false;
     }
   }
@@ -357,6 +410,10 @@
 // wait forever behind smaller ones that fill each gap. Of the allowed workers,
 // those that will have room first are chosen. Only the step itself and more
 // urgent steps may use them; each pass decides anew until the tasks are placed.
+//
+// A worker on which the step cannot run, or that will not have room, is never
+// chosen, and a gang gets no worker unless all its members will have room:
+// nothing would end the exclusivity, and the worker would stay empty.
 auto Dispatcher::MakeWorkersExclusive(StepRun& step, const Queue& queue,
                                       int tasks, Millis now_ms) -> void {
   if (queue.advice_.has_value() && step.advice_by_worker_.empty()) {
@@ -374,17 +431,29 @@
       demand.DominantShare(service.min_capacity_) < kLargeTaskShare) {
     return;
   }
+  // Tasks that the workers will have room for; counted up to `tasks`.
+  auto future_tasks = 0;
   for (auto* worker : service.usable_workers_) {
-    const auto allowed = step.advice_by_worker_.find(worker->entry_.id_);
-    if (worker->exclusive_for_.empty() &&
-        demand.FitsIn(worker->entry_.capacity_) &&
-        demand.DominantShare(worker->entry_.capacity_) >= kLargeTaskShare &&
-        (!queue.advice_.has_value() ||
-         (allowed != step.advice_by_worker_.end() && allowed->second)) &&
-        worker->HasLabel(step.step_->required_label_)) {
+    if (!worker->exclusive_for_.empty() ||
+        !worker->IsUsable(now_ms, step.step_->is_long_running_) ||
+        !worker->HasLabel(step.step_->required_label_) ||
+        (queue.advice_.has_value() &&
+         !step.IsAllowedOn(worker->entry_.id_, worker->incarnation_)
+              .value_or(false))) {
+      continue;
+    }
+    const auto fitting =
+        std::min(TasksWithinWorkerLimit(*worker, step, tasks),
+                 CountFitting(demand, worker->CapacityOnceEnded(), tasks));
+    future_tasks = std::min(tasks, future_tasks + fitting);
+    if (fitting > 0 &&
+        demand.DominantShare(worker->entry_.capacity_) >= kLargeTaskShare) {
       candidates.push_back({worker, worker->TimeUntilFitsMs(demand, now_ms)});
     }
   }
+  if (step.step_->is_gang_ && future_tasks < tasks) {
+    return;
+  }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.available_in_ms_ < b.available_in_ms_;
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -3,6 +3,11 @@
 //
 // The reads are sent in parallel, since no task is placed after a take-over
 // until all of them have completed.
+//
+// A worker may report on a task before the watch delivers its job: the previous
+// owner goes on until it learns of the claim. A job is in the store before
+// any owner starts its tasks, so a read that is sent after the report either
+// returns the job or proves that it was removed.
 
 #include <algorithm>
 #include <utility>
@@ -23,17 +28,37 @@
 constexpr Millis kWatchPauseMs = 250;
 // Time for which the store holds a watch open without changes.
 constexpr Millis kWatchWaitMs = 2000;
-// Allowance for the previous owner's grants that crossed the claim.
-constexpr Millis kTakeOverMarginMs = 500;
+// Limit on concurrent reads of unmatched jobs.
+constexpr int kMaxUnmatchedReads = 8;
+// Time after the claim for which the previous owner may still grant leases if
+// its own lease had expired by then, and if it had not: a hand-over ends after
+// 1.2 s, and a lease that is not renewed after 1.5 s.
+constexpr Millis kExpiredOwnerMarginMs = 500;
+constexpr Millis kReplacedOwnerMarginMs = 1500;
+// As for a lease that this instance grants.
+constexpr Millis kLeaseExpiryMarginMs = 50;
 
 }  // namespace
 
-// The previous owner may have granted leases until the claim.
+auto Dispatcher::LeaseDurationMs() const -> Millis {
+  return static_cast<Millis>(static_cast<double>(options_.lease_ms_) /
+                             kMinWorkerClockRate);
+}
+
 auto Dispatcher::DefaultLeaseExpiryMs() const -> Millis {
-  return claim_.claimed_ms_ +
-         static_cast<Millis>(static_cast<double>(options_.lease_ms_) /
-                             kMinWorkerClockRate) +
-         kTakeOverMarginMs;
+  const auto margin_ms = claim_.has_replaced_owner_ ? kReplacedOwnerMarginMs
+                                                    : kExpiredOwnerMarginMs;
+  return LeaseDurationMs() +
+         std::min(claim_.claimed_ms_ + margin_ms,
+                  previous_rights_end_ms_ + kLeaseExpiryMarginMs);
+}
+
+auto Dispatcher::OnPreviousRightsEnded() -> void {
+  previous_rights_end_ms_ = std::min(previous_rights_end_ms_, BootMs());
+  for (auto& [id, worker] : unclaimed_workers_) {
+    worker.lease_expiry_ms_ =
+        std::min(worker.lease_expiry_ms_, DefaultLeaseExpiryMs());
+  }
 }
 
 auto Dispatcher::LeaseExpiries() const -> std::map<std::string, Millis> {
@@ -55,6 +80,7 @@
 
 auto Dispatcher::ApplyLeaseExpiries(
     const std::map<std::string, Millis>& expiries) -> void {
+  OnPreviousRightsEnded();
   if (!is_state_read_) {
     early_lease_expiries_ = expiries;
     return;
@@ -62,8 +88,7 @@
   for (const auto& [id, expiry_ms] : expiries) {
     if (const auto it = unclaimed_workers_.find(id);
         it != unclaimed_workers_.end()) {
-      it->second.lease_expiry_ms_ =
-          std::min(it->second.lease_expiry_ms_, expiry_ms);
+      it->second.lease_expiry_ms_ = expiry_ms;
     }
   }
 }
@@ -147,7 +172,9 @@
     }
   }
   RecoverJobs();
-  ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
+  if (!early_lease_expiries_.empty()) {
+    ApplyLeaseExpiries(std::exchange(early_lease_expiries_, {}));
+  }
   OnWorkersRead(reads.worker_entries_);
 }
 
@@ -176,6 +203,23 @@
   WatchInbox();
 }
 
+auto Dispatcher::ReadRightsEndRevision(Millis now_ms) -> void {
+  if (unclaimed_workers_.empty() || rights_end_revision_.has_value() ||
+      is_reading_rights_end_ || now_ms < previous_rights_end_ms_) {
+    return;
+  }
+  is_reading_rights_end_ = true;
+  store_->Read(kOwnerKey, [this, alive = is_alive_](const ReadResult& result) {
+    if (!*alive) {
+      return;
+    }
+    is_reading_rights_end_ = false;
+    if (result.status_ == StoreStatus::kOk) {
+      rights_end_revision_ = result.revision_;
+    }
+  });
+}
+
 auto Dispatcher::WatchInbox() -> void {
   store_->Watch(
       kInboxPrefix, inbox_revision_, kWatchWaitMs,
@@ -194,8 +238,12 @@
                 if (!*alive || all.status_ != StoreStatus::kOk) {
                   return;
                 }
+                // Earlier records have been applied. One of them may have been
+                // deleted since it was read, and must not be added again.
                 for (const auto& record : all.records_) {
-                  ApplyInboxRecord(record, false);
+                  if (record.revision_ > inbox_revision_) {
+                    ApplyInboxRecord(record, false);
+                  }
                 }
                 inbox_revision_ = std::max(inbox_revision_, all.revision_);
               });
@@ -223,7 +271,113 @@
              {{"key", record.key_}, {"problem", job.status().ToString()}});
     return;
   }
-  InsertJob(*job, is_recovered);
+  InsertJob(*job, record.revision_, is_recovered);
+}
+
+auto Dispatcher::IsUnmatched(const TaskId& id) -> bool {
+  const auto* job = FindJob(id.job_);
+  return job == nullptr || job->IsUpcoming(id.occurrence_);
+}
+
+auto Dispatcher::AddUnmatchedJob(const std::string& id) -> void {
+  unmatched_jobs_[id].is_reported_again_ = true;
+}
+
+auto Dispatcher::CheckUnmatchedJobs(Millis now_ms) -> void {
+  auto reads =
+      std::count_if(unmatched_jobs_.begin(), unmatched_jobs_.end(),
+                    [](const auto& entry) { return entry.second.is_reading_; });
+  std::vector<std::string> known;
+  for (auto& [id, job] : unmatched_jobs_) {
+    if (FindJob(id) != nullptr) {
+      known.push_back(id);
+    } else if (!job.is_reading_ && now_ms >= job.next_read_ms_ &&
+               reads < kMaxUnmatchedReads) {
+      ++reads;
+      ReadUnmatchedJob(id, job);
+    }
+  }
+  // Drops the entries of jobs without unmatched reports.
+  for (const auto& id : known) {
+    MatchReports(id, false);
+  }
+}
+
+auto Dispatcher::ReadUnmatchedJob(const std::string& id, UnmatchedJob& job)
+    -> void {
+  job.is_reading_ = true;
+  job.is_reported_again_ = false;
+  store_->Read(JobKey(id),
+               [this, id, alive = is_alive_](const ReadResult& result) {
+                 if (!*alive) {
+                   return;
+                 }
+                 auto& unmatched = unmatched_jobs_.at(id);
+                 unmatched.is_reading_ = false;
+                 unmatched.next_read_ms_ = BootMs() + kReadRetryMs;
+                 const auto is_reported_again = unmatched.is_reported_again_;
+                 if (result.status_ == StoreStatus::kOk) {
+                   for (const auto& record : result.records_) {
+                     ApplyInboxRecord(record, true);
+                   }
+                 } else if (result.status_ != StoreStatus::kAbsent) {
+                   return;
+                 }
+                 // A record that cannot be decoded names no job either.
+                 MatchReports(id, FindJob(id) == nullptr && !is_reported_again);
+               });
+}
+
+auto Dispatcher::MatchReports(const std::string& job_id, bool is_absent)
+    -> void {
+  const auto entry = unmatched_jobs_.find(job_id);
+  if (entry == unmatched_jobs_.end()) {
+    return;
+  }
+  const auto now = BootMs();
+  auto is_any_left = false;
+  // Ends go first, as in a Hold answer: they may be of earlier runs of a task.
+  for (auto& [worker_id, worker] : workers_) {
+    for (auto& unrecorded : worker.unrecorded_ends_) {
+      if (!unrecorded.unmatched_.has_value()) {
+        continue;
+      }
+      const auto id = TaskId::FromString(unrecorded.unmatched_->run_.task_);
+      if (id->job_ != job_id) {
+        continue;
+      }
+      if (!is_absent && IsUnmatched(*id)) {
+        is_any_left = true;
+        continue;
+      }
+      const auto end = *std::exchange(unrecorded.unmatched_, std::nullopt);
+      RecordRunEnd(worker, end, unrecorded, now);
+    }
+  }
+  for (auto& [worker_id, worker] : workers_) {
+    std::vector<RunRef> matched;
+    for (auto& [key, run] : worker.runs_) {
+      if (run.phase_ != PlacedRun::Phase::kUnmatched ||
+          run.task_.job_ != job_id) {
+        continue;
+      }
+      if (is_absent) {
+        MarkStopping(run);
+      } else if (IsUnmatched(run.task_)) {
+        is_any_left = true;
+      } else {
+        matched.push_back({key.first, key.second});
+      }
+    }
+    for (const auto& run : matched) {
+      RemoveRun(worker, run.task_, run.run_);
+      HandleRunningTask(worker, {run, "", 0, 0}, now);
+    }
+    AdvanceDurableEnds(worker);
+  }
+  if (!is_any_left && !entry->second.is_reading_) {
+    unmatched_jobs_.erase(entry);
+  }
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/dispatcher_stalls.cc
+++ b/fleet/dispatcher_stalls.cc
@@ -52,13 +52,12 @@
       continue;
     }
     ++counts.in_service_;
-    const auto allowed = step.advice_by_worker_.find(id);
-    if (queue.advice_.has_value() && allowed != step.advice_by_worker_.end() &&
-        !allowed->second) {
+    if (queue.advice_.has_value() &&
+        !step.IsAllowedOn(id, worker.incarnation_).value_or(true)) {
       continue;
     }
     ++counts.allowed_;
-    if (!worker.IsUsable(now_ms)) {
+    if (!worker.IsUsable(now_ms, step.step_->is_long_running_)) {
       continue;
     }
     ++counts.usable_;
@@ -68,7 +67,8 @@
       continue;
     }
     ++counts.fitting_;
-    if (!demand.FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_))) {
+    if (!demand.FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
+                                              step.ignores_exclusivity_))) {
       continue;
     }
     ++counts.unreserved_;
@@ -94,7 +94,7 @@
   }
   const auto& record = step.job_->record();
   for (auto i = 0; i < static_cast<int>(step.tasks_.size()); ++i) {
-    if (step.job_->is_recovered() &&
+    if (step.job_->may_be_running() &&
         !IsKnownNotRunning(queue->service_, step.TaskIdAt(i).ToString())) {
       return WaitReason::kMayBeRunning;
     }
--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -18,6 +18,8 @@
 
 constexpr Millis kWatchWaitMs = 2000;
 constexpr Millis kRetryMs = 200;
+// Pause before a claim is repeated whose calls the store did not answer.
+constexpr Millis kClaimRetryMs = 500;
 // Renewals per time to live of the lease.
 constexpr Millis kRenewalsPerTtl = 4;
 // The owner considers its lease expired this long before the store does.
@@ -38,6 +40,13 @@
 // Reports of peers older than this are ignored.
 constexpr Millis kPeerReportValidMs = 1800;
 
+auto ParseOwner(const Record& record) -> Owner {
+  const auto body = ParseJson(record.value_);
+  return {RequireString(body, "instance"), RequireString(body, "address"),
+          RequireInt(body, "epoch", 0, INT64_MAX), record.revision_,
+          record.lease_};
+}
+
 }  // namespace
 
 Election::Election(uv_loop_t* loop, RecordStore* store, Options options,
@@ -123,7 +132,7 @@
       if (!result.records_.empty()) {
         record = result.records_[0];
       }
-      ApplyOwnerRecord(record);
+      ApplyOwnerRecord(record, result.revision_);
       WatchOwner();
       return;
     }
@@ -155,7 +164,7 @@
         watch_revision_ = std::max(watch_revision_, result.revision_);
         for (const auto& record : result.records_) {
           if (record.key_ == kOwnerKey) {
-            ApplyOwnerRecord(record);
+            ApplyOwnerRecord(record, record.revision_);
           }
         }
         if (result.records_.empty() && owner_.address_.empty()) {
@@ -165,20 +174,26 @@
       });
 }
 
-auto Election::ApplyOwnerRecord(const Record& record) -> void {
+auto Election::ApplyOwnerRecord(const Record& record, std::int64_t revision)
+    -> void {
+  if (revision != 0 && revision < owner_known_revision_) {
+    return;
+  }
+  owner_known_revision_ = std::max(owner_known_revision_, revision);
   Owner owner;
   if (!record.is_removed_) {
     try {
-      const auto body = ParseJson(record.value_);
-      owner.instance_ = RequireString(body, "instance");
-      owner.address_ = RequireString(body, "address");
-      owner.epoch_ = RequireInt(body, "epoch", 0, INT64_MAX);
-      owner.revision_ = record.revision_;
-      owner.lease_ = record.lease_;
+      owner = ParseOwner(record);
     } catch (const Error& e) {
       LogEvent(Event::kBadRecord, {{"key", kOwnerKey}, {"problem", e.what()}});
+      // It names no owner, but a claim has to replace it.
+      owner.revision_ = record.revision_;
+      owner.lease_ = record.lease_;
     }
   }
+  if (!owner.address_.empty() && owner.epoch_ != last_owners_.back().epoch_) {
+    last_owners_ = {last_owners_.back(), owner};
+  }
   const auto is_changed = owner.revision_ != owner_.revision_;
   owner_ = owner;
   if (is_changed) {
@@ -245,9 +260,16 @@
   });
 }
 
+auto Election::AbandonClaim(Millis retry_ms) -> void {
+  is_claiming_ = false;
+  if (owner_.address_.empty()) {
+    ScheduleClaim(retry_ms);
+  }
+}
+
 auto Election::Claim() -> void {
   if (owner_.revision_ != expected_owner_revision_) {
-    is_claiming_ = false;
+    AbandonClaim(0);
     return;
   }
   // The lease and the epoch are requested in parallel to save a round trip.
@@ -263,7 +285,7 @@
                                epoch.status_ == StoreStatus::kAbsent;
     if (answers->lease_.status_ != StoreStatus::kOk || !is_epoch_read ||
         is_claiming_disabled_) {
-      is_claiming_ = false;
+      AbandonClaim(kClaimRetryMs + ClaimDelayMs());
       return;
     }
     std::int64_t latest_epoch = 0;
@@ -317,7 +339,11 @@
       return;
     }
     is_claiming_ = false;
-    if (result.status_ != StoreStatus::kOk || is_claiming_disabled_) {
+    // A later state than that of the claim may be known by now.
+    const auto is_replaced = owner_known_revision_ > result.revision_ &&
+                             owner_.revision_ != result.revision_;
+    if (result.status_ != StoreStatus::kOk || is_claiming_disabled_ ||
+        is_replaced) {
       // Another instance won, or the outcome is unknown. The lease expires even
       // if it cannot be revoked. A claim that the store did carry out is read
       // back as a stale record of this instance (see ApplyOwnerRecord).
@@ -328,7 +354,11 @@
     lease_ = lease;
     lease_confirmed_ms_ = lease_sent_ms;
     had_rights_ = true;
-    claim_ = {epoch, result.revision_, BootMs()};
+    claim_ = {epoch, result.revision_, BootMs(), expected_owner_revision_ != 0};
+    // The watch may have shown this claim already.
+    previous_owner_ = last_owners_.back().epoch_ == epoch ? last_owners_.front()
+                                                          : last_owners_.back();
+    owner_known_revision_ = std::max(owner_known_revision_, result.revision_);
     owner_ = {options_.instance_, options_.address_, epoch, result.revision_,
               lease};
     LogEvent(Event::kFleetElected,
@@ -354,7 +384,7 @@
       if (!result.records_.empty()) {
         record = result.records_[0];
       }
-      ApplyOwnerRecord(record);
+      ApplyOwnerRecord(record, result.revision_);
     });
   });
 }
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
@@ -38,11 +39,16 @@
 // accepted: the load balancer needs two readiness probes, one second apart, to
 // send new connections elsewhere.
 constexpr Millis kStopAcceptingDelayMs = 3000;
+// From this time on, clients leave with their next answer: a request that meets
+// the closing of its connection has to be sent again.
+constexpr Millis kCloseAfterAnswersDelayMs = 2300;
 constexpr Millis kDrainPollIntervalMs = 50;
 constexpr Millis kLeaseReportRetryMs = 100;
 constexpr int kMaxLeaseReportAttempts = 5;
-// Time reserved between the end of draining and the platform's kill.
+// Time reserved between the last answers and the platform's kill.
 constexpr Millis kExitMarginMs = 700;
+// The part of it in which these answers may still be written.
+constexpr Millis kLastAnswersMs = 300;
 
 auto SplitAddress(const std::string& address) -> std::pair<std::string, int> {
   const auto colon = address.rfind(':');
@@ -167,11 +173,12 @@
 }
 
 auto FleetNode::MakeOwnerClient() -> OwnerClient {
-  return {[this](const JobRecord& job) {
+  return {[this](const JobRecord& job, std::int64_t revision) {
             if (dispatcher_ != nullptr) {
-              dispatcher_->AddJob(job);
+              dispatcher_->AddJob(job, revision);
             } else if (!election_->owner().address_.empty()) {
-              peer_client_.NotifyJob(election_->owner().address_, job);
+              peer_client_.NotifyJob(election_->owner().address_, job,
+                                     revision);
             }
           },
           [this](const std::string& id) {
@@ -218,6 +225,32 @@
       loop_, dependencies_.store_, dependencies_.worker_gateway_,
       &advice_balancer_, &metrics_, claim, options_.dispatcher_,
       std::move(hooks));
+  RequestResignation(claim.epoch_);
+}
+
+// The previous owner may not have learned of the claim, and its process may
+// have ended without giving up its rights.
+auto FleetNode::RequestResignation(std::int64_t epoch) -> void {
+  const auto& previous = election_->previous_owner();
+  if (previous.epoch_ + 1 != epoch) {
+    return;
+  }
+  if (previous.address_ == options_.peer_address_) {
+    // The previous owner was this process, or an earlier one at this address.
+    dispatcher_->OnPreviousRightsEnded();
+    if (ended_term_.epoch_ + 1 == epoch) {
+      dispatcher_->ApplyLeaseExpiries(
+          std::exchange(ended_term_, EndedTerm{}).expiries_);
+    }
+    return;
+  }
+  peer_client_.RequestResignation(
+      previous.address_, epoch, [this, epoch](bool has_no_rights) {
+        if (has_no_rights && dispatcher_ != nullptr &&
+            dispatcher_->token() == epoch) {
+          dispatcher_->OnPreviousRightsEnded();
+        }
+      });
 }
 
 auto FleetNode::OnDeposed() -> void {
@@ -365,6 +398,14 @@
       reply->Send(200, "{}");
       return;
     }
+    if (request.path_ == "/peer/resign") {
+      if (dispatcher_ != nullptr &&
+          dispatcher_->token() < RequireInt(body, "epoch", 0, INT64_MAX)) {
+        election_->StepDown("a later epoch has been claimed");
+      }
+      reply->Send(200, "{}");
+      return;
+    }
     if (dispatcher_ == nullptr) {
       reply->Send(409, "{}");
       return;
@@ -385,7 +426,7 @@
         throw Error(ErrorCode::kBadRequest,
                     std::string(job.status().message()));
       }
-      dispatcher_->AddJob(*job);
+      dispatcher_->AddJob(*job, GetInt(body, "revision", 0, 0, INT64_MAX));
     } else if (request.path_ == "/peer/cancel") {
       dispatcher_->CancelJob(RequireString(body, "id"));
     } else if (request.path_ == "/peer/state") {
@@ -452,11 +493,21 @@
   if (elapsed >= kHandOverTimeoutMs) {
     election_->StepDown("this instance is stopping");
   }
+  if (elapsed >= kCloseAfterAnswersDelayMs) {
+    client_server_->CloseAfterAnswers();
+  }
   if (elapsed >= kStopAcceptingDelayMs) {
     client_server_->StopAccepting();
-    const auto is_out_of_time =
-        elapsed >= options_.termination_grace_ms_ - kExitMarginMs;
-    if (client_server_->open_requests() == 0 || is_out_of_time) {
+    const auto answer_by_ms = options_.termination_grace_ms_ - kExitMarginMs;
+    if (elapsed >= answer_by_ms) {
+      // The outcome of a submission is unknown to the client, which 503 would
+      // deny.
+      client_server_->AnswerOpenRequests(
+          504, dependencies_.client_api_codec_.encode_error_(
+                   "this instance is stopping"));
+    }
+    if (client_server_->open_connections() == 0 ||
+        elapsed >= answer_by_ms + kLastAnswersMs) {
       LogEvent(
           Event::kStopped,
           {{"open_requests", std::to_string(client_server_->open_requests())}});
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -70,8 +70,8 @@
   auto operator=(const FleetNode&) -> FleetNode& = delete;
 
   // Shuts down gracefully: reports not ready, gives up ownership, completes
-  // open client requests, then calls `done`. Calls `done` with requests still
-  // open if the termination grace period is about to end.
+  // open client requests, then calls `done`. Requests that are still open when
+  // the termination grace period is about to end are answered with 504.
   auto Drain(std::function<void()> done) -> void;
 
  private:
@@ -86,6 +86,9 @@
   auto MetricsText() -> std::string;
   auto MakeOwnerClient() -> OwnerClient;
   auto OnElected(const OwnerClaim& claim) -> void;
+  // Makes sure that the previous owner starts nothing more, and lets the
+  // dispatcher know if that is certain.
+  auto RequestResignation(std::int64_t epoch) -> void;
   auto OnDeposed() -> void;
   auto OnOwnerChanged() -> void;
   // Tells the next owner until when the leases that this instance granted are
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -31,6 +32,9 @@
     // The start order has not been answered yet.
     kStarting,
     kRunning,
+    // The worker lists the run, but its task is not known (yet); see
+    // Dispatcher::IsUnmatched.
+    kUnmatched,
     // The stop order is repeated until the worker accepts it or answers that
     // the run is stale.
     kStopping,
@@ -38,6 +42,8 @@
   Phase phase_ = Phase::kStarting;
   TaskId task_;
   std::int64_t run_ = 0;
+  // False if the run was listed before its job was known.
+  bool is_demand_known_ = true;
   // Amounts counted against the worker's capacity and against the team's limit.
   Resources demand_;
   Resources team_demand_;
@@ -80,6 +86,8 @@
   // that does. The key is empty if the end need not be stored.
   std::string record_key_;
   std::uint64_t record_version_ = 0;
+  // The end itself while its task is not known (yet).
+  std::optional<EndedRun> unmatched_;
 };
 
 struct FleetWorker {
@@ -124,6 +132,7 @@
   Millis no_starts_until_ms_ = 0;
   // Jobs of which a run failed here since the last successful run.
   std::set<std::string> failed_jobs_;
+  Millis last_failure_ms_ = 0;
   Millis quarantined_until_ms_ = 0;
   // Length of the last quarantine; 0 after a successful run.
   Millis quarantine_ms_ = 0;
@@ -141,6 +150,8 @@
   // Numbers of runs of filling and of serving tasks.
   int filling_runs_ = 0;
   int serving_runs_ = 0;
+  // Runs that take an unknown amount of the capacity.
+  int unknown_demand_runs_ = 0;
 
   // Returns the expiry of a lease of `lease_ms` from now, on the worker's
   // clock, and extends LatestLeaseExpiryMs to cover it.
@@ -153,14 +164,31 @@
   auto Remove(const std::string& task, std::int64_t run) -> void;
   auto Find(const std::string& task, std::int64_t run) -> PlacedRun*;
 
-  // Returns true if new runs may be started on the worker.
-  auto IsUsable(Millis now_ms) const -> bool;
-  // Returns the capacity that is free for the step `step_name` with the given
-  // priority. Capacity reserved for other steps of equal or higher urgency does
-  // not count as free. If the worker is exclusive to another step that is not
-  // less urgent, the result is negative, so that no task fits.
-  auto FreeCapacityFor(const std::string& step_name, int priority) const
-      -> Resources;
+  // Counts a failed run of `job`; returns true if that quarantines the worker.
+  // Each quarantine lasts twice as long as the one before. During a quarantine
+  // a job extends it only once, as all tasks of a job that is at fault itself
+  // fail together.
+  auto CountFailure(const std::string& job, Millis now_ms) -> bool;
+  auto ForgetFailures() -> void;
+  // Returns false if the entry is that of another incarnation than the one that
+  // answers. Each incarnation may have another capacity and other labels.
+  auto IsEntryCurrent() const -> bool;
+  // Returns true if new runs may be started on the worker. A quarantine ends
+  // early for long-running tasks: these have no limit on failed runs, and must
+  // be running wherever there is room.
+  auto IsUsable(Millis now_ms, bool is_long_running = false) const -> bool;
+  // Returns when no quarantine keeps such tasks away any more.
+  auto QuarantineEndMs(bool is_long_running) const -> Millis;
+  // Returns the capacity that is free for the step with the given priority.
+  // Capacity reserved for other steps of equal or higher urgency does not count
+  // as free. If the worker is exclusive to another step that is not less
+  // urgent, the result is negative, so that no task fits, unless
+  // `ignores_exclusivity` is true.
+  auto FreeCapacityFor(const std::string& step_name, int priority,
+                       bool ignores_exclusivity = false) const -> Resources;
+  // Returns the capacity that is free once all runs have ended that end by
+  // themselves or are being stopped.
+  auto CapacityOnceEnded() const -> Resources;
   // Returns the time until `demand` fits, by the estimates of the current runs;
   // kNeverMs if no such time is known.
   auto TimeUntilFitsMs(const Resources& demand, Millis now_ms) const -> Millis;
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -46,11 +46,23 @@
   return {job_->record().id_, occurrence_, step_number_, index};
 }
 
-Job::Job(JobRecord record, ProgressRecord progress, bool is_recovered)
+auto StepRun::IsAllowedOn(const std::string& worker,
+                          std::int64_t incarnation) const
+    -> std::optional<bool> {
+  const auto it = advice_by_worker_.find(worker);
+  if (it == advice_by_worker_.end() ||
+      (!it->second.is_allowed_ &&
+       it->second.worker_incarnation_ != incarnation)) {
+    return std::nullopt;
+  }
+  return it->second.is_allowed_;
+}
+
+Job::Job(JobRecord record, ProgressRecord progress, bool may_be_running)
     : record_(std::move(record)),
       progress_(std::move(progress)),
       critical_paths_(record_.steps_.size()),
-      is_recovered_(is_recovered),
+      may_be_running_(may_be_running),
       next_occurrence_(progress_.occurrences_done_) {
   // A step depends only on steps with lower numbers, so the reverse order
   // completes each critical path before it is extended to a dependency.
@@ -96,10 +108,8 @@
   if (objective == 0) {
     return false;
   }
-  const auto due =
-      record_.repeat_count_ == 0
-          ? record_.accepted_ms_
-          : record_.first_due_ms_ + step.occurrence_ * record_.interval_ms_;
+  const auto due = record_.repeat_count_ == 0 ? record_.accepted_ms_
+                                              : DueMs(step.occurrence_);
   const auto age = wall_ms - due;
   return age + RemainingMs(step.step_number_, queue) > objective &&
          age < kMaxYieldObjectives * objective;
@@ -110,7 +120,17 @@
       next_occurrence_ >= record_.repeat_count_) {
     return 0;
   }
-  return record_.first_due_ms_ + next_occurrence_ * record_.interval_ms_;
+  // 0 would mean that there is none.
+  return std::max<Millis>(1, DueMs(next_occurrence_));
+}
+
+auto Job::DueMs(std::int64_t occurrence) const -> Millis {
+  return record_.first_due_ms_ + occurrence * record_.interval_ms_;
+}
+
+auto Job::IsUpcoming(std::int64_t occurrence) const -> bool {
+  return !IsEnded() && occurrence >= next_occurrence_ &&
+         occurrence < std::max<std::int64_t>(record_.repeat_count_, 1);
 }
 
 auto Job::CreateDueOccurrences(Millis wall_ms, Millis now_ms)
@@ -125,7 +145,13 @@
     }
     return ready;
   }
-  while (next_occurrence_ < record_.repeat_count_ && NextDueMs() <= wall_ms) {
+  // What the record lists was due by the clock of an earlier owner.
+  const auto last_recorded =
+      progress_.done_.empty() ? -1 : progress_.done_.rbegin()->first;
+  while (next_occurrence_ < record_.repeat_count_ &&
+         (next_occurrence_ <= last_recorded ||
+          (DueMs(next_occurrence_) <= wall_ms &&
+           open_occurrences_.size() < kMaxOpenOccurrences))) {
     const auto added = AddOccurrence(next_occurrence_++, now_ms);
     ready.insert(ready.end(), added.begin(), added.end());
   }
@@ -161,6 +187,8 @@
     }
     steps.push_back(std::move(step));
   }
+  open_occurrences_.insert(number);
+  CloseIfDone(number);
   auto ready = MarkReadySteps(number, now_ms);
   UpdateCompletion();
   return ready;
@@ -246,21 +274,27 @@
     return {};
   }
   auto ready = MarkReadySteps(occurrence, now_ms);
+  CloseIfDone(occurrence);
   UpdateCompletion();
   return ready;
 }
 
+auto Job::CloseIfDone(std::int64_t occurrence) -> void {
+  const auto& steps = occurrences_[occurrence];
+  if (std::all_of(steps.begin(), steps.end(),
+                  [](const auto& step) { return step->IsDone(); })) {
+    open_occurrences_.erase(occurrence);
+  }
+}
+
 auto Job::UpdateCompletion() -> void {
-  const auto is_done = [](const auto& steps) {
-    return std::all_of(steps.begin(), steps.end(),
-                       [](const auto& step) { return step->IsDone(); });
-  };
-  while (true) {
-    const auto it = occurrences_.find(progress_.occurrences_done_);
-    if (it == occurrences_.end() || !is_done(it->second)) {
-      break;
-    }
-    ++progress_.occurrences_done_;
+  const auto done =
+      open_occurrences_.empty() ? next_occurrence_ : *open_occurrences_.begin();
+  for (; progress_.occurrences_done_ < done; ++progress_.occurrences_done_) {
+    const auto prefix = fmt::format("{}.", progress_.occurrences_done_);
+    std::erase_if(progress_.failures_, [&](const auto& entry) {
+      return entry.first.starts_with(prefix);
+    });
   }
   const auto total = std::max<std::int64_t>(record_.repeat_count_, 1);
   if (progress_.occurrences_done_ >= total && !IsEnded()) {
@@ -306,6 +340,7 @@
   }
   task.phase_ = Task::Phase::kPlaced;
   task.run_ = run;
+  task.highest_run_ = std::max(task.highest_run_, run);
   task.worker_ = worker;
 }
 
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -5,7 +5,7 @@
 // consistent and return the steps that became ready. The methods read no clock
 // and do no I/O.
 //
-//   Job job(record, progress, is_recovered);
+//   Job job(record, progress, may_be_running);
 //   for (auto* step : job.CreateDueOccurrences(WallMs(), BootMs())) { ... }
 //   for (auto* step : job.MarkDone(*placed_step, index, BootMs())) { ... }
 
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
 
 namespace lentilscale::fleet {
 
+// Limit on the unfinished occurrences of a job that are in memory, so that one
+// job cannot exhaust it. Further ones are created as these end.
+inline constexpr std::size_t kMaxOpenOccurrences = 1000;
+
 class Job;
 
 // Identifies a task by its job, occurrence, step and index.
@@ -44,9 +49,12 @@
 struct Task {
   enum class Phase { kWaiting, kPlaced, kDone };
   Phase phase_ = Phase::kWaiting;
-  // Number of the current run while the task is placed, else of the latest
-  // known run.
+  // Number of the current run while the task is placed, else of the previous
+  // one.
   std::int64_t run_ = 0;
+  // Highest number of any known run, also of one that another owner started.
+  // The next run gets a higher number.
+  std::int64_t highest_run_ = 0;
   // The worker of the current run, while the task is placed.
   std::string worker_;
   // Latest checkpoint; empty if there is none.
@@ -68,6 +76,14 @@
   Millis expires_ms_ = 0;
 };
 
+// The advice service's answer for one step on one worker. It never changes, but
+// a worker that was not up when the service was asked is not named as allowed,
+// so a refusal holds only for the worker's incarnation.
+struct WorkerAdvice {
+  bool is_allowed_ = false;
+  std::int64_t worker_incarnation_ = 0;
+};
+
 // State of one step of one occurrence of a job.
 struct StepRun {
   Job* job_ = nullptr;
@@ -80,9 +96,8 @@
   int waiting_count_ = 0;
   // True once all steps that this one depends on are done.
   bool is_ready_ = false;
-  // By worker id: whether the advice service allows the step on a worker that
-  // it was asked about. Its answers never change for a step.
-  std::map<std::string, bool> advice_by_worker_;
+  // By worker id: the advice service's answers about workers.
+  std::map<std::string, WorkerAdvice> advice_by_worker_;
   // By worker id.
   std::map<std::string, StepTicket> tickets_;
   bool is_advice_pending_ = false;
@@ -91,6 +106,9 @@
   // Advice calls that returned since all tasks of the step were last placed.
   // Each one moves the step's next call back among those of other steps.
   int advice_calls_ = 0;
+  // True if the step has waited so long that it may use workers that are
+  // exclusive to other steps. Each placement pass sets it anew.
+  bool ignores_exclusivity_ = false;
   // Number of the step's runs on each worker, by worker id.
   std::map<std::string, int> runs_per_worker_;
 
@@ -104,20 +122,24 @@
     return done_count_ == static_cast<int>(tasks_.size());
   }
   auto TaskIdAt(int index) const -> TaskId;
+  // Returns whether the advice service allows the step on the worker; nullopt
+  // if that is not known.
+  auto IsAllowedOn(const std::string& worker, std::int64_t incarnation) const
+      -> std::optional<bool>;
 };
 
 // An accepted job with the state of its occurrences, steps and tasks.
 class Job {
  public:
   // `progress` is the stored record, or a default one if the store has none.
-  // `is_recovered` is true if the job was accepted before this instance took
-  // over, so that its tasks may already be running on workers.
-  Job(JobRecord record, ProgressRecord progress, bool is_recovered);
+  // `may_be_running` is true if a previous owner may have started tasks of the
+  // job.
+  Job(JobRecord record, ProgressRecord progress, bool may_be_running);
   Job(const Job&) = delete;
   auto operator=(const Job&) -> Job& = delete;
 
   auto record() const -> const JobRecord& { return record_; }
-  auto is_recovered() const -> bool { return is_recovered_; }
+  auto may_be_running() const -> bool { return may_be_running_; }
   auto state() const -> JobState { return progress_.state_; }
   auto IsEnded() const -> bool {
     return progress_.state_ >= JobState::kCompleted;
@@ -132,15 +154,19 @@
   auto IsYielding(const StepRun& step, const Queue& queue, Millis wall_ms) const
       -> bool;
 
-  // Creates the occurrences that are due by `wall_ms`. A job without due times
-  // has a single occurrence, which is due at once. Returns the steps that
-  // became ready.
+  // Creates the occurrences that the stored record lists and those that are due
+  // by `wall_ms`, up to kMaxOpenOccurrences. A job without due times has a
+  // single occurrence, which is due at once. Returns the steps that became
+  // ready.
   auto CreateDueOccurrences(Millis wall_ms, Millis now_ms)
       -> std::vector<StepRun*>;
   // Returns the due time (wall clock) of the next occurrence to create, or 0 if
   // there is none.
   auto NextDueMs() const -> Millis;
 
+  // Returns true if CreateDueOccurrences will create the occurrence later.
+  auto IsUpcoming(std::int64_t occurrence) const -> bool;
+
   // Returns the step, or nullptr if the job has no such step or this object has
   // not created the occurrence.
   auto FindStep(std::int64_t occurrence, int step) -> StepRun*;
@@ -179,10 +205,14 @@
   Millis end_recorded_ms_ = 0;
 
  private:
+  // Returns the due time (wall clock) of an occurrence of a repeated job.
+  auto DueMs(std::int64_t occurrence) const -> Millis;
   auto AddOccurrence(std::int64_t number, Millis now_ms)
       -> std::vector<StepRun*>;
   auto MarkReadySteps(std::int64_t occurrence, Millis now_ms)
       -> std::vector<StepRun*>;
+  // Removes the occurrence from the open ones if all its steps are done.
+  auto CloseIfDone(std::int64_t occurrence) -> void;
   auto UpdateCompletion() -> void;
 
   // Returns the estimated time from the step's start to the job's end if no
@@ -199,8 +229,10 @@
   };
   // By step number.
   std::vector<CriticalPath> critical_paths_;
-  bool is_recovered_;
+  bool may_be_running_;
   std::int64_t next_occurrence_ = 0;
+  // Numbers of the occurrences that were created and are not done.
+  std::set<std::int64_t> open_occurrences_;
   // Steps by occurrence number and step number.
   std::map<std::int64_t, std::vector<std::unique_ptr<StepRun>>> occurrences_;
 };
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -161,6 +161,85 @@
   BOOST_TEST((job.state() == JobState::kCompleted));
 }
 
+// Guards against: an owner whose clock is behind forgets what was done of an
+// occurrence, or never records the end of a job whose last one was done first.
+BOOST_AUTO_TEST_CASE(recorded_occurrences_do_not_wait_for_a_slow_clock) {
+  auto record = MakeRecord({MakeStep(2)});
+  record.repeat_count_ = 2;
+  record.first_due_ms_ = 1000;
+  record.interval_ms_ = 500;
+  Job job(record, {}, false);
+  const auto steps = job.CreateDueOccurrences(1500, 0);
+  BOOST_REQUIRE_EQUAL(steps.size(), 2U);
+  job.MarkDone(*steps[1], 0, 0);
+  Job second(record, job.Progress(), true);
+  second.CreateDueOccurrences(1200, 0);
+  Job third(record, second.Progress(), true);
+  third.CreateDueOccurrences(1500, 0);
+  BOOST_REQUIRE(third.FindStep(1, 0) != nullptr);
+  BOOST_TEST(third.FindStep(1, 0)->done_count_ == 1);
+
+  job.MarkDone(*steps[1], 1, 0);
+  Job last(record, job.Progress(), true);
+  last.CreateDueOccurrences(1200, 0);
+  last.MarkDone(*last.FindStep(0, 0), 0, 0);
+  last.MarkDone(*last.FindStep(0, 0), 1, 0);
+  BOOST_TEST((last.state() == JobState::kCompleted));
+}
+
+// Guards against: the record of a job that repeats for long outgrows what the
+// store takes, and with it all records of the same write are refused for ever.
+BOOST_AUTO_TEST_CASE(failures_of_finished_occurrences_leave_the_record) {
+  auto gang = MakeStep(2);
+  gang.is_gang_ = true;
+  auto record = MakeRecord({MakeStep(1), gang});
+  record.repeat_count_ = 100;
+  record.interval_ms_ = 10;
+  Job job(record, {}, false);
+  for (std::int64_t i = 0; i < 20; ++i) {
+    job.CreateDueOccurrences(10 * i, 0);
+    job.MarkFailed(*job.FindStep(i, 0), 0, 1, 3);
+    job.MarkFailed(*job.FindStep(i, 1), 0, 1, 3);
+    // The second occurrence stays open until the others are done.
+    if (i != 1) {
+      job.MarkDone(*job.FindStep(i, 0), 0, 0);
+      job.MarkDone(*job.FindStep(i, 1), 0, 0);
+    }
+  }
+  const auto open = job.Progress();
+  BOOST_TEST(!open.failures_.contains("0.0.0"));
+  BOOST_TEST(!open.failures_.contains("0.1"));
+  BOOST_TEST(open.failures_.contains("1.0.0"));
+  BOOST_TEST(open.failures_.contains("1.1"));
+  job.MarkDone(*job.FindStep(1, 0), 0, 0);
+  job.MarkDone(*job.FindStep(1, 1), 0, 0);
+  BOOST_TEST(job.Progress().failures_.empty());
+  BOOST_TEST(job.Progress().occurrences_done_ == 20);
+}
+
+// Guards against: one job with very many due occurrences exhausts the memory of
+// each owner in turn, and no other job runs.
+BOOST_AUTO_TEST_CASE(due_occurrences_are_created_as_earlier_ones_end) {
+  auto record = MakeRecord({MakeStep(1)});
+  record.repeat_count_ = 20000;
+  Job job(record, {}, false);
+  auto open = job.CreateDueOccurrences(1000, 0);
+  const auto most = open.size();
+  BOOST_TEST(most <= kMaxOpenOccurrences);
+  BOOST_TEST(job.CreateDueOccurrences(1000, 0).empty());
+  BOOST_TEST(job.NextDueMs() != 0);
+  // The first one stays open; the others make room as they end.
+  for (std::size_t i = 1; i < open.size(); ++i) {
+    job.MarkDone(*open[i], 0, 0);
+    const auto added = job.CreateDueOccurrences(1000, 0);
+    open.insert(open.end(), added.begin(), added.end());
+  }
+  BOOST_TEST(open.size() == 20000U);
+  BOOST_TEST(!job.IsEnded());
+  job.MarkDone(*open[0], 0, 0);
+  BOOST_TEST((job.state() == JobState::kCompleted));
+}
+
 // After a take-over, runs of a job that has ended still take their room.
 BOOST_AUTO_TEST_CASE(the_shape_of_an_ended_jobs_tasks_is_known) {
   ProgressRecord progress;
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -18,6 +18,7 @@
 constexpr Millis kMaxHoldMs = 10000;
 constexpr Millis kGangWaitMs = 3000;
 constexpr std::size_t kPageItems = 500;
+constexpr std::size_t kPageBytes = 1 << 20;
 constexpr Millis kTicketValidMs = 2000;
 
 auto Listen(uv_loop_t* loop, HttpServer::Handler handler)
@@ -81,8 +82,11 @@
   auto [server, address] =
       Listen(loop_, [this, number](const HttpRequest& request,
                                    const std::shared_ptr<HttpReply>& reply) {
-        if (entrances_[number].is_refusing_) {
+        const auto mode = entrances_[number].mode_;
+        if (mode == Mode::kRefusing) {
           reply->Send(503, "{}");
+        } else if (mode == Mode::kSilent) {
+          unanswered_.push_back(reply);
         } else {
           Handle(request, reply);
         }
@@ -225,17 +229,22 @@
     const auto after = request.QueryParam("after", "");
     answer["items"] = Json::Value(Json::arrayValue);
     answer["truncated"] = false;
+    std::size_t bytes = 0;
     for (const auto& [key, item] : items_) {
       if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
         continue;
       }
-      if (answer["items"].size() == kPageItems) {
+      if (answer["items"].size() == kPageItems || bytes > kPageBytes) {
         answer["truncated"] = true;
         break;
       }
+      bytes += item.value_.size();
       answer["items"].append(ItemToJson(key, item));
     }
     reply->Send(200, DumpJson(answer));
+    if (page_hook_) {
+      page_hook_(prefix);
+    }
   } else if (request.path_ == "/kv-watch") {
     const auto after = std::atoll(request.QueryParam("after", "0").c_str());
     if (after + 1 < first_kept_) {
@@ -277,6 +286,9 @@
 }
 
 auto EmulatedStore::AnswerWatchers() -> void {
+  if (is_deaf_) {
+    return;
+  }
   const auto now = MonotonicMs();
   std::vector<Watcher> open;
   for (auto& watcher : watchers_) {
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -48,7 +48,10 @@
     return entrances_[entrance].address_;
   }
   auto SetEntranceRefusing(std::size_t entrance, bool is_refusing) -> void {
-    entrances_[entrance].is_refusing_ = is_refusing;
+    SetEntranceMode(entrance, is_refusing ? Mode::kRefusing : Mode::kUp);
+  }
+  auto SetEntranceMode(std::size_t entrance, Mode mode) -> void {
+    entrances_[entrance].mode_ = mode;
   }
   // The next `count` transactions are carried out and not answered.
   auto LoseAnswers(int count) -> void { answers_to_lose_ = count; }
@@ -58,6 +61,12 @@
     late_transactions_ = count;
     late_ms_ = delay_ms;
   }
+  // `hook` runs after each page of a range has been read, with its prefix.
+  auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
+    page_hook_ = std::move(hook);
+  }
+  // While true, no watch returns, whatever is written.
+  auto SetWatchesDeaf(bool is_deaf) -> void { is_deaf_ = is_deaf; }
   // Forgets all history, so that watches must read anew.
   auto DropHistory() -> void;
 
@@ -113,15 +122,17 @@
   uv_loop_t* loop_;
   struct Entrance {
     std::string address_;
-    bool is_refusing_ = false;
+    Mode mode_ = Mode::kUp;
     std::unique_ptr<HttpServer> server_;
   };
   std::vector<Entrance> entrances_;
   std::string address_;
   Mode mode_ = Mode::kUp;
+  bool is_deaf_ = false;
   int answers_to_lose_ = 0;
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
+  std::function<void(const std::string&)> page_hook_;
   std::int64_t revision_ = 1;
   std::int64_t first_kept_ = 1;
   std::int64_t next_lease_ = 100;
--- a/testing/walk_model_stand_in.cc
+++ b/testing/walk_model_stand_in.cc
@@ -243,6 +243,9 @@
           return {WorkerStatus::kFenced, clock};
         }
         target.token_ = std::max(target.token_, fencing_token);
+        world_->Tell(run.task_,
+                     fmt::format("run {} is stopped on {}, token {}", run.run_,
+                                 target.id_, fencing_token));
         auto& closed = target.closed_runs_[run.task_];
         closed = std::max(closed, run.run_);
         const auto it = target.running_.find(run.task_);
@@ -309,6 +312,10 @@
                                          callback = std::move(callback)] {
     auto& target = world_->worker(id);
     if (!target.is_cut_ && !target.is_down_) {
+      if (order.fencing_token_ > target.token_) {
+        world_->Tell(
+            "", fmt::format("token {} reaches {}", order.fencing_token_, id));
+      }
       if (order.fencing_token_ < target.token_ &&
           world_->left_out() != LeftOut::kFencing) {
         HoldResult result;
@@ -320,8 +327,10 @@
       target.deadline_ms_ =
           std::max(target.deadline_ms_, order.worker_lease_end_ms_);
       if (order.acknowledged_end_ >= target.next_end_) {
-        world_->Violate(fmt::format("{} is told to forget end {} before it", id,
-                                    order.acknowledged_end_));
+        world_->Violate(
+            fmt::format("{} is told to forget end {} before it, token {}{}", id,
+                        order.acknowledged_end_, order.fencing_token_,
+                        world_->FleetStory()));
       }
       while (!target.ended_.empty() &&
              target.ended_.front().number_ <= order.acknowledged_end_) {
--- a/testing/walk_world_stand_in.cc
+++ b/testing/walk_world_stand_in.cc
@@ -19,6 +19,8 @@
 constexpr int kMaxAttempts = 40;
 constexpr Millis kLeaseMs = 400;
 constexpr Millis kTickMs = 5;
+// A pause between two ticks that is worth telling.
+constexpr Millis kLateMs = 100;
 // Time with faults, and the time after it in which all must end.
 constexpr Millis kFaultsMs = 4000;
 constexpr Millis kPatienceMs = 25000;
@@ -114,6 +116,11 @@
   violations_.push_back(fmt::format("seed {}: {}", seed_, text));
 }
 
+auto World::FleetStory() const -> std::string {
+  const auto it = histories_.find("");
+  return it == histories_.end() ? "" : "\n  the fleet:" + it->second.story_;
+}
+
 auto World::Tell(const std::string& task, const std::string& text) -> void {
   histories_[task].story_ +=
       fmt::format("\n    {} ms: {}", MonotonicMs() - began_ms_, text);
@@ -135,8 +142,8 @@
   auto& history = histories_[ref.task_];
   for (const auto& [other_id, other] : workers_) {
     if (other.running_.contains(ref.task_)) {
-      Violate(
-          fmt::format("{} runs on {} and {}", ref.task_, other_id, worker.id_));
+      Violate(fmt::format("{} runs on {} and {}{}{}", ref.task_, other_id,
+                          worker.id_, history.story_, FleetStory()));
     }
   }
   if (history.is_done_acknowledged_) {
@@ -228,6 +235,7 @@
   worker.born_ms_ = ++last_born_ms_;
   worker.life_began_ms_ = MonotonicMs() - 1000;
   store_.Put(kWorkerPrefix + id, std::to_string(worker.born_ms_));
+  Tell("", fmt::format("{} begins life {}", id, worker.born_ms_));
 }
 
 auto World::TakeOver() -> void {
@@ -267,8 +275,12 @@
   auto old = owners_.back();
   if (Chance(0.5)) {
     old->dispatcher_.reset();
+    Tell("", fmt::format("epoch {} crashes", epoch_));
   } else {
-    Later(Between(0, 300), [old] { old->has_rights_ = false; });
+    Later(Between(0, 300), [this, old, epoch = epoch_] {
+      old->has_rights_ = false;
+      Tell("", fmt::format("epoch {} loses its rights", epoch));
+    });
     Later(Between(300, 600), [old] { old->dispatcher_.reset(); });
   }
   Later(Between(0, 200), [this] { TakeOver(); });
@@ -292,12 +304,17 @@
       break;
     case Fault::kWorkerCut:
       worker.is_cut_ = true;
-      Later(Between(50, 1400), [&worker] { worker.is_cut_ = false; });
+      Tell("", fmt::format("{} is cut off", worker.id_));
+      Later(Between(50, 1400), [this, &worker] {
+        worker.is_cut_ = false;
+        Tell("", fmt::format("{} is back", worker.id_));
+      });
       break;
     case Fault::kWorkerCrash:
       if (!worker.is_down_) {
         worker.is_down_ = true;
         worker.running_.clear();
+        Tell("", fmt::format("{} crashes", worker.id_));
         Later(Between(kMinDownMs, kMaxDownMs),
               [this, &worker] { BeginLife(worker); });
       }
@@ -335,6 +352,7 @@
     jobs_[id].push_back(step.count_);
   }
   store_.Put(JobKey(id), EncodeJob(record));
+  Tell("", fmt::format("job {} is accepted", id));
 }
 
 auto World::EndLease(ModelWorker& worker) -> void {
@@ -342,7 +360,9 @@
     return;
   }
   while (left_out_ != LeftOut::kLeases && !worker.running_.empty()) {
-    Finish(worker, worker.running_.begin()->first, RunEnd::kLapsed);
+    // A copy: Finish removes the run together with its key.
+    const auto task = worker.running_.begin()->first;
+    Finish(worker, task, RunEnd::kLapsed);
   }
   OnLapse(worker);
 }
@@ -365,6 +385,11 @@
 
 auto World::Tick() -> void {
   const auto now = MonotonicMs();
+  if (now - last_tick_ms_ > kLateMs) {
+    Tell("",
+         fmt::format("the loop stood still for {} ms", now - last_tick_ms_));
+  }
+  last_tick_ms_ = now;
   for (auto& [id, worker] : workers_) {
     TickWorker(worker, now);
   }
