Let a resignation also cover a claim whose outcome is not known

What callers saw: nothing; found by reading the change again. An instance that is asked to resign while the answer to its claim is under way would say that it has no rights, and take them when the answer comes. Cause: only a present ownership was given up. Change: an instance that resigned before an epoch takes no rights from an earlier claim. Evidence: fleet_store_test a_claim_gives_no_rights_after_a_resignation fails in 1 of 1 run without the comparison of epochs and passes with it.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -340,8 +340,9 @@
     }
     is_claiming_ = false;
     // A later state than that of the claim may be known by now.
-    const auto is_replaced = owner_known_revision_ > result.revision_ &&
-                             owner_.revision_ != result.revision_;
+    const auto is_replaced = (owner_known_revision_ > result.revision_ &&
+                              owner_.revision_ != result.revision_) ||
+                             epoch < resigned_before_epoch_;
     if (result.status_ != StoreStatus::kOk || is_claiming_disabled_ ||
         is_replaced) {
       // Another instance won, or the outcome is unknown. The lease expires even
@@ -412,6 +413,13 @@
   });
 }
 
+auto Election::ResignBefore(std::int64_t epoch) -> void {
+  resigned_before_epoch_ = std::max(resigned_before_epoch_, epoch);
+  if (claim_.epoch_ < epoch) {
+    StepDown("a later epoch has been claimed");
+  }
+}
+
 auto Election::StepDown(const std::string& reason) -> void {
   if (!IsOwner()) {
     return;
--- a/fleet/election.h
+++ b/fleet/election.h
@@ -76,6 +76,9 @@
   // Gives up the rights at once and revokes the lease, so that another instance
   // can claim. `reason` is logged.
   auto StepDown(const std::string& reason) -> void;
+  // Gives up the rights of all claims before `epoch`, also of one whose outcome
+  // is not known yet.
+  auto ResignBefore(std::int64_t epoch) -> void;
   // Claims from the owner whose record has `owner_revision`, which requests
   // this when it is about to stop. Ignored if the owner has changed meanwhile.
   auto ClaimFrom(std::int64_t owner_revision) -> void;
@@ -129,6 +132,8 @@
   std::array<Owner, 2> last_owners_;
   Owner previous_owner_;
   std::int64_t watch_revision_ = 0;
+  // Claims before this epoch give no rights.
+  std::int64_t resigned_before_epoch_ = 0;
   OwnerClaim claim_;
   std::int64_t lease_ = 0;
   // When the latest grant or renewal of the lease that succeeded was sent.
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -399,10 +399,7 @@
       return;
     }
     if (request.path_ == "/peer/resign") {
-      if (dispatcher_ != nullptr &&
-          dispatcher_->token() < RequireInt(body, "epoch", 0, INT64_MAX)) {
-        election_->StepDown("a later epoch has been claimed");
-      }
+      election_->ResignBefore(RequireInt(body, "epoch", 0, INT64_MAX));
       reply->Send(200, "{}");
       return;
     }
--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -326,6 +326,17 @@
   BOOST_TEST(candidate.election_.owner().instance_ == "x");
 }
 
+// Guards against: two owners, if an instance resigns before it learns that its
+// claim succeeded.
+BOOST_AUTO_TEST_CASE(a_claim_gives_no_rights_after_a_resignation) {
+  Candidate candidate;
+  candidate.store_.Await("read ls/owner").read_(Absent(10));
+  const auto claim = candidate.AwaitClaim();
+  candidate.election_.ResignBefore(1000);
+  claim.commit_({StoreStatus::kOk, 20, {}});
+  BOOST_TEST(!candidate.election_.IsOwner());
+}
+
 // Guards against: a fleet without an owner until the watch returns, because the
 // owner that was to be replaced has left, or a call of the claim has failed.
 BOOST_AUTO_TEST_CASE(a_claim_that_could_not_be_made_is_repeated) {
