Acknowledge the ends of a completed job once the store holds its completion

Cause: the first end of a gang's run completes the job in memory. The ends of the other members were then taken for ends of a job that needs no record, and acknowledged at once. If the owner and the first member's worker are lost before the write, the new owner starts the gang again. Change: an end of a job that has ended waits for the version of the record that holds the job's end. That also holds for cancelled and failed jobs.

--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -185,7 +185,13 @@
     -> void {
   const auto id = TaskId::FromString(end.run_.task_);
   auto* job = id.has_value() ? FindJob(id->job_) : nullptr;
-  if (job == nullptr || job->IsEnded() || job->FindTask(*id) == nullptr) {
+  if (job == nullptr || job->FindTask(*id) == nullptr) {
+    return;
+  }
+  if (job->IsEnded()) {
+    // Until the job's end is durable, a new owner would start the task again.
+    unrecorded.record_key_ = ProgressKey(id->job_);
+    unrecorded.record_version_ = job->end_version_;
     return;
   }
   ApplyRunEnd(worker, *job, *job->FindStep(id->occurrence_, id->step_), *id,
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -53,9 +53,21 @@
     for (const auto& put : transaction.puts_) {
       records_[put.key_] = {put.key_, put.value_, revision_};
     }
-    RunAfter(loop_, 0, [callback, revision = revision_] {
+    auto answer = [callback, revision = revision_] {
       callback({StoreStatus::kOk, revision, {}});
-    });
+    };
+    if (is_holding_answers_) {
+      held_answers_.push_back(std::move(answer));
+    } else {
+      RunAfter(loop_, 0, std::move(answer));
+    }
+  }
+  // Answers the writes that were held back.
+  auto ReleaseAnswers() -> void {
+    is_holding_answers_ = false;
+    for (auto& answer : std::exchange(held_answers_, {})) {
+      answer();
+    }
   }
   auto GrantLease(Millis, LeaseCallback) -> void override {}
   auto RenewLease(std::int64_t, LeaseCallback) -> void override {}
@@ -82,6 +94,8 @@
   }
 
   bool is_down_ = false;
+  // True while writes are carried out without an answer.
+  bool is_holding_answers_ = false;
   int reads_ = 0;
 
  private:
@@ -111,6 +125,7 @@
   std::int64_t revision_ = 1;
   std::map<std::string, Record> records_;
   ReadCallback watch_;
+  std::vector<std::function<void()>> held_answers_;
 };
 
 // Accepts starts and stops; Hold calls wait until the test answers them.
@@ -255,7 +270,8 @@
   // Stores a job whose tasks together fill a worker, on which at most one of
   // them may run; nobody is told.
   auto Accept(const std::string& id, const std::string& queue,
-              Millis first_due_ms = 0, int tasks = 1) -> void {
+              Millis first_due_ms = 0, int tasks = 1, bool is_gang = false)
+      -> void {
     JobRecord record;
     record.id_ = id;
     record.queue_ = queue;
@@ -266,6 +282,7 @@
     step.count_ = tasks;
     step.demand_.cpu_milli_ = kCapacityMilli / tasks;
     step.max_per_worker_ = 1;
+    step.is_gang_ = is_gang;
     record.steps_.push_back(step);
     store_.Put(JobKey(id), EncodeJob(record));
   }
@@ -499,6 +516,30 @@
   });
 }
 
+// Guards against a task that runs again after its end was acknowledged: a
+// member of a gang ends when another one has completed the job, but the store
+// does not hold that yet.
+BOOST_AUTO_TEST_CASE(end_of_a_completed_job_waits_for_the_jobs_record) {
+  const RunRef other{"a1.0.0.1", kRun.run_};
+  TakeOver test;
+  test.Accept("a1", "q", 0, 2, true);
+  test.Begin();
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1", {other});
+  test.store_.is_holding_answers_ = true;
+  test.Answer("s-0", {}, {{1, kRun, RunEnd::kDone, ""}});
+  test.Answer("s-1", {}, {{1, other, RunEnd::kDone, ""}});
+  test.Await([&] { return test.workers_.IsHeld("s-1"); });
+  BOOST_TEST(test.acknowledged_["s-1"] == 0);
+  test.store_.ReleaseAnswers();
+  test.Await([&] {
+    if (test.workers_.IsHeld("s-1")) {
+      test.Answer("s-1", {}, {{1, other, RunEnd::kDone, ""}});
+    }
+    return test.acknowledged_["s-1"] == 1;
+  });
+}
+
 // Guards against a task that never runs again: two owners started it, and the
 // end of the run with the higher number is listed while the other run is the
 // current one.
