--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -88,7 +88,7 @@
     boot.max_stop_ms_ = 200;
     boot.status_retention_ms_ = status_kept_ms_;
     auto node = platform::PlatformNode::Create(loop_, boot);
-    BOOST_REQUIRE(node.ok());
+    BOOST_REQUIRE_MESSAGE(node.ok(), node.status().ToString());
     addresses_.push_back(boot.client_address_);
     readiness_.push_back(boot.readiness_address_);
     nodes_.push_back(*std::move(node));
