Log answers that come after their call was given up, and failed reads of the configuration

A call may now say for how long a late answer is still wanted. Hold calls do, for the duration of a lease, and the answer is logged with the number of ends that were not known (fleet_late_answer); it has no effect yet. A failed read or watch of the configuration is logged with the bytes that had arrived (fleet_configuration_not_read).

--- a/fleet/config_watcher.cc
+++ b/fleet/config_watcher.cc
@@ -32,6 +32,16 @@
   return BootMs() - known_current_ms_;
 }
 
+auto ConfigWatcher::OnReadFailed(const ReadResult& result) -> void {
+  ++failures_;
+  LogEvent(Event::kFleetConfigurationNotRead,
+           {{"status", StoreStatusName(result.status_)},
+            {"received_bytes", std::to_string(result.received_bytes_)},
+            {"failures", std::to_string(failures_)},
+            {"configuration_age_ms", std::to_string(AgeMs())}});
+  ScheduleRead();
+}
+
 auto ConfigWatcher::ScheduleRead() -> void {
   RunAfter(loop_, kRetryMs, [this, alive = is_alive_] {
     if (*alive) {
@@ -46,9 +56,10 @@
       return;
     }
     if (result.status_ != StoreStatus::kOk) {
-      ScheduleRead();
+      OnReadFailed(result);
       return;
     }
+    failures_ = 0;
     known_current_ms_ = std::max(known_current_ms_, result.sent_ms_);
     store_answered_ms_ = std::max(store_answered_ms_, result.sent_ms_);
     watch_revision_ = result.revision_;
@@ -68,7 +79,7 @@
                     return;
                   }
                   if (result.status_ != StoreStatus::kOk) {
-                    ScheduleRead();
+                    OnReadFailed(result);
                     return;
                   }
                   store_answered_ms_ =
--- a/fleet/config_watcher.h
+++ b/fleet/config_watcher.h
@@ -50,6 +50,7 @@
   auto ReadConfig() -> void;
   auto Watch() -> void;
   auto ApplyRecord(const Record& record) -> void;
+  auto OnReadFailed(const ReadResult& result) -> void;
   auto ScheduleRead() -> void;
 
   uv_loop_t* loop_;
@@ -61,6 +62,8 @@
   // The configuration is known to have been the newest at this time.
   Millis known_current_ms_ = 0;
   Millis store_answered_ms_ = 0;
+  // Reads and watches that failed since the last successful read.
+  int failures_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -85,6 +85,7 @@
             : std::clamp(worker.TimeUntilNextEndMs(now_ms) + kHoldWaitMarginMs,
                          kMinHoldWaitMs, kMaxHoldWaitMs);
   }
+  order.late_answer_ms_ = options_.lease_ms_;
   worker.is_hold_pending_ = true;
   gateway_->Hold(worker.entry_, order,
                  [this, id = worker.entry_.id_, clock_life,
@@ -115,6 +116,10 @@
   }
   auto& worker = it->second;
   const auto now = BootMs();
+  if (result.is_late_) {
+    OnLateHoldAnswer(worker, result, now);
+    return;
+  }
   worker.is_hold_pending_ = false;
   if (result.status_ == WorkerStatus::kFenced) {
     hooks_.step_down_(
@@ -199,6 +204,22 @@
   RequestPlacementPass();
 }
 
+auto Dispatcher::OnLateHoldAnswer(FleetWorker& worker, const HoldResult& result,
+                                  Millis now_ms) -> void {
+  if (result.status_ != WorkerStatus::kOk ||
+      result.incarnation_ != worker.incarnation_) {
+    return;
+  }
+  const auto new_ends = std::count_if(
+      result.ended_.begin(), result.ended_.end(), [&](const EndedRun& end) {
+        return end.number_ > worker.last_received_end_;
+      });
+  LogEvent(Event::kFleetLateAnswer,
+           {{"worker", worker.entry_.id_},
+            {"age_ms", std::to_string(now_ms - result.sent_ms_)},
+            {"ends", std::to_string(new_ends)}});
+}
+
 auto Dispatcher::HandleRunEnd(FleetWorker& worker, const EndedRun& end,
                               Millis now_ms) -> void {
   if (end.number_ <= worker.last_received_end_) {
--- a/fleet/record_store.h
+++ b/fleet/record_store.h
@@ -59,6 +59,8 @@
   std::int64_t revision_ = 0;
   // When the call was sent (BootMs); the result is at least as recent.
   Millis sent_ms_ = 0;
+  // Bytes of the answer that had arrived, also if the read failed.
+  std::size_t received_bytes_ = 0;
 };
 
 // A conditional write, applied atomically.
--- a/fleet/worker_gateway.h
+++ b/fleet/worker_gateway.h
@@ -128,6 +128,9 @@
   std::vector<RunningTask> running_;
   // The ends that have not been acknowledged, the first kMaxListedEnds of them.
   std::vector<EndedRun> ended_;
+  // True if the call had been reported as unanswered before. Newer calls may
+  // have been answered meanwhile, so the lists may be out of date.
+  bool is_late_ = false;
 
   // Returns true if no end is missing: a run that is not listed, or a task of
   // which no run is, then has none there.
@@ -157,9 +160,13 @@
   Millis worker_lease_end_ms_ = 0;
   // Longest time that the worker waits for an end before it answers.
   Millis wait_ms_ = 0;
+  // Time for which an answer is still reported after the call was given up.
+  Millis late_answer_ms_ = 0;
 };
 
-// Calls to workers. Each callback runs exactly once, after the call returns.
+// Calls to workers. Each callback runs once, after the call returns. That of a
+// Hold call runs once more if the answer arrives within `late_answer_ms_` after
+// the call was given up.
 class WorkerGateway {
  public:
   using OrderCallback = std::function<void(const OrderResult&)>;
--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -45,6 +45,7 @@
   std::shared_ptr<bool> is_client_alive_;
   bool is_sent_ = false;
   bool is_done_ = false;
+  Millis late_answer_ms_ = 0;
 };
 
 auto Finish(CallState* state, HttpOutcome outcome) -> void {
@@ -58,7 +59,10 @@
   uv_close(reinterpret_cast<uv_handle_t*>(&state->timer_),
            [](uv_handle_t* handle) {
              auto* closed = static_cast<CallState*>(handle->data);
-             if (*closed->is_client_alive_) {
+             const auto is_reported =
+                 closed->result_.is_late_ &&
+                 closed->result_.outcome_ != HttpOutcome::kAnswered;
+             if (!is_reported && *closed->is_client_alive_) {
                closed->callback_(closed->result_);
              }
              delete closed;
@@ -72,6 +76,19 @@
 auto OnTimeout(uv_timer_t* timer) -> void {
   auto* state = static_cast<CallState*>(timer->data);
   state->pool_->is_silent_ = true;
+  if (state->is_sent_ && state->late_answer_ms_ > 0 &&
+      !state->result_.is_late_) {
+    auto unanswered = HttpResult{};
+    unanswered.outcome_ = HttpOutcome::kUnknown;
+    unanswered.sent_ms_ = state->result_.sent_ms_;
+    state->result_.is_late_ = true;
+    uv_timer_start(timer, OnTimeout,
+                   static_cast<std::uint64_t>(state->late_answer_ms_), 0);
+    if (*state->is_client_alive_) {
+      state->callback_(unanswered);
+    }
+    return;
+  }
   if (state->client_ != nullptr) {
     h2o_http1client_cancel(state->client_);
   }
@@ -208,6 +225,7 @@
   state->callback_ = std::move(callback);
   state->is_client_alive_ = core_->is_alive_;
   state->result_.sent_ms_ = BootMs();
+  state->late_answer_ms_ = call.late_answer_ms_;
   state->head_ = MakeHead(call);
   state->body_ = std::move(call.body_);
   uv_timer_init(core_->loop_, &state->timer_);
--- a/lentilscale/http_client.h
+++ b/lentilscale/http_client.h
@@ -38,6 +38,9 @@
   std::vector<std::pair<std::string, std::string>> headers_ = {};
   // The Host header; the address if it is empty.
   std::string host_ = {};
+  // Time after the timeout during which a late answer is still reported. The
+  // connection is kept open until then.
+  Millis late_answer_ms_ = 0;
 };
 
 // How a call ended.
@@ -58,6 +61,8 @@
   // The time by BootMs at which the call was sent; an answer confirms the
   // answering process's state at some time after it.
   Millis sent_ms_ = 0;
+  // True if the call was reported as kUnknown before its answer arrived.
+  bool is_late_ = false;
 };
 
 // Sends requests and keeps the connections.
@@ -76,7 +81,9 @@
   HttpClient(const HttpClient&) = delete;
   auto operator=(const HttpClient&) -> HttpClient& = delete;
 
-  // Sends `call`; `callback` runs exactly once, always later.
+  // Sends `call`; `callback` always runs later. It runs once with the outcome,
+  // and once more if that was a timeout and the whole answer arrives within
+  // `late_answer_ms_` from then on.
   auto Send(HttpCall call, Callback callback) -> void;
 
   // Returns bytes of requests sent and of answers received.
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -65,6 +65,8 @@
     {Event::kFleetRightsLimited, "fleet_rights_limited", LogLevel::kInfo},
     {Event::kFleetRightsUnconfirmed, "fleet_rights_unconfirmed",
      LogLevel::kWarning},
+    {Event::kFleetConfigurationNotRead, "fleet_configuration_not_read",
+     LogLevel::kWarning},
     {Event::kFleetRequestRefused, "fleet_request_refused", LogLevel::kInfo},
     {Event::kFleetJobAccepted, "fleet_job_accepted", LogLevel::kInfo},
     {Event::kFleetCancelAccepted, "fleet_cancel_accepted", LogLevel::kInfo},
@@ -90,6 +92,7 @@
     {Event::kFleetWorkerRemoved, "fleet_worker_removed", LogLevel::kInfo},
     {Event::kFleetWorkerClockRestarted, "fleet_worker_clock_restarted",
      LogLevel::kWarning},
+    {Event::kFleetLateAnswer, "fleet_late_answer", LogLevel::kInfo},
 });
 
 constexpr auto kLevelNames =
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -71,6 +71,7 @@
   kFleetWorkerForgotten = 6011,
   kFleetRightsLimited = 6015,
   kFleetRightsUnconfirmed = 6016,
+  kFleetConfigurationNotRead = 6017,
   kFleetRequestRefused = 6101,
   kFleetJobAccepted = 6102,
   kFleetCancelAccepted = 6103,
@@ -94,6 +95,7 @@
   kFleetWorkerQuarantined = 6307,
   kFleetWorkerRemoved = 6308,
   kFleetWorkerClockRestarted = 6309,
+  kFleetLateAnswer = 6310,
 };
 
 // The catalogue's entry for an event.
