Show that a task runs again when the answer that lists its end comes late

fleet_late_answer_test: a worker handles each request at once and sends its answers 900 ms late for 8 s, beginning while it runs 1 or some of 6 tasks, which end as done meanwhile.

--- /dev/null
+++ b/testing/fleet_late_answer_test.cc
@@ -0,0 +1,175 @@
+// The fleet scheduler on workers whose answers arrive late: one instance with
+// the platform's adapter against the emulated platform, on one event loop.
+
+#define BOOST_TEST_MODULE fleet_late_answer
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lentilscale/http_client.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+#include "lentilscale/timer.h"
+#include "platform/platform_node.h"
+#include "testing/free_address_stand_in.h"
+#include "testing/platform_emulator_stand_in.h"
+
+namespace lentilscale::testing {
+namespace {
+
+// Cases wait for conditions; this bounds a case that never gets there.
+constexpr Millis kPatienceMs = 20000;
+// Longer than a worker's lease, so that a worker whose answers all count as
+// lost is written off meanwhile.
+constexpr Millis kSlowMs = 8000;
+
+constexpr auto kFirstJob = "00000000000000a0";
+constexpr auto kJob = "00000000000000a1";
+
+// One instance and two workers, of which one has room for all that is handed
+// in.
+class LateFleet {
+ public:
+  LateFleet() {
+    signal(SIGPIPE, SIG_IGN);
+    SetLogLevel(LogLevel::kError);
+    platform_.store().Put(
+        "op/config",
+        R"({"version":1,"routes":[{"name":"q","host":"h.example",)"
+        R"("prefix":"/q/","service":"s","priority":1,"max_attempts":3,)"
+        R"("stretch":2.0,"target_duration_ms":300,"public":false}],)"
+        R"("services":[],"limits":{},"tenants":[{"name":"a",)"
+        R"("api_keys":["key-a"],"weight":1,"max_count":{}}]})");
+    platform_.AddWorker("i-0", "s", 4000, 4);
+    platform_.AddWorker("i-1", "s", 4000, 4);
+    platform::BootFile boot;
+    boot.node_name_ = "node-0";
+    boot.client_address_ = FreeAddress();
+    boot.readiness_address_ = FreeAddress();
+    boot.peer_address_ = FreeAddress();
+    boot.store_address_ = platform_.store().address();
+    boot.advice_address_ = platform_.advice_address();
+    boot.max_stop_ms_ = 200;
+    address_ = boot.client_address_;
+    auto node = platform::PlatformNode::Create(loop_, boot);
+    BOOST_REQUIRE_MESSAGE(node.ok(), node.status().ToString());
+    node_ = *std::move(node);
+  }
+
+  auto platform() -> PlatformEmulator& { return platform_; }
+
+  auto RunUntil(const std::function<bool()>& condition) -> bool {
+    const RepeatingTimer waker(loop_, 5, [] {});
+    const auto until = MonotonicMs() + kPatienceMs;
+    auto holds = condition();
+    while (!holds && MonotonicMs() < until) {
+      uv_run(loop_, UV_RUN_ONCE);
+      holds = condition();
+    }
+    return holds;
+  }
+
+  auto RunFor(Millis ms) -> void {
+    const auto until = MonotonicMs() + ms;
+    RunUntil([&] { return MonotonicMs() >= until; });
+  }
+
+  // Hands a job of `count` tasks in, again until it is accepted.
+  auto Submit(const std::string& id, const std::string& spec, int count)
+      -> bool {
+    platform_.SetDemand(id, 1000, 0);
+    const auto body = fmt::format(
+        R"({{"spec":"{}","steps":[{{"count":{},"cpu":1000,"mem_mb":10,)"
+        R"("gpu":0,"estimate_ms":100}}]}})",
+        spec, count);
+    return CallUntil("POST", id, body, [](const HttpResult& result) {
+      return result.status_ == 200;
+    });
+  }
+
+  auto WaitForCompletion(const std::string& id) -> bool {
+    return CallUntil("GET", id, "", [](const HttpResult& result) {
+      return result.status_ == 200 &&
+             ParseJson(result.body_)["state"] == "completed";
+    });
+  }
+
+  auto CheckPromises() -> void {
+    for (const auto& violation : platform_.violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+
+ private:
+  auto CallUntil(const std::string& method, const std::string& id,
+                 const std::string& body,
+                 const std::function<bool(const HttpResult&)>& condition)
+      -> bool {
+    const auto until = MonotonicMs() + kPatienceMs;
+    while (MonotonicMs() < until) {
+      std::optional<HttpResult> result;
+      client_.Send(
+          {address_, method, "/q/" + id, body, "key-a", 3000, {}, "h.example"},
+          [&](const HttpResult& answer) { result = answer; });
+      RunUntil([&] { return result.has_value(); });
+      if (condition(*result)) {
+        return true;
+      }
+      RunFor(20);
+    }
+    return false;
+  }
+
+  uv_loop_t* loop_ = uv_default_loop();
+  PlatformEmulator platform_{loop_};
+  HttpClient client_{loop_, HttpClient::Options{}};
+  std::string address_;
+  std::unique_ptr<platform::PlatformNode> node_;
+};
+
+// Runs `count` tasks on workers of which the one that runs the first of them
+// sends its answers `delay_ms` late until its lease would have expired, and
+// expects that each task runs once.
+auto CheckThatTasksRunOnce(int count, Millis delay_ms) -> void {
+  LateFleet fleet;
+  BOOST_REQUIRE(fleet.Submit(kFirstJob, "ms=20", 1));
+  BOOST_REQUIRE(fleet.WaitForCompletion(kFirstJob));
+  BOOST_REQUIRE(fleet.Submit(kJob, "ms=2500", count));
+  auto& platform = fleet.platform();
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return platform.RunningOf(kJob) == count; }));
+  // The answers to the starts arrive in time.
+  fleet.RunFor(300);
+  auto& worker = platform.worker(
+      platform.worker("i-0").running_count() > 0 ? "i-0" : "i-1");
+  BOOST_REQUIRE(worker.running_count() > 0);
+  worker.DelayAnswers(delay_ms);
+  fleet.RunFor(kSlowMs);
+  BOOST_TEST(worker.running_count() == 0);
+  worker.DelayAnswers(0);
+  BOOST_TEST(fleet.WaitForCompletion(kJob));
+  BOOST_TEST(platform.StartsOf(kJob) == count);
+  fleet.CheckPromises();
+}
+
+}  // namespace
+
+// Guards against TWICE: a task that is done runs again, since the answer that
+// lists its end comes after the call was given up.
+BOOST_AUTO_TEST_CASE(an_end_in_a_late_answer_is_not_lost,
+                     *boost::unit_test::disabled()) {
+  CheckThatTasksRunOnce(1, 900);
+}
+
+// Guards against TWICE: all tasks of a slow worker run again.
+BOOST_AUTO_TEST_CASE(ends_in_a_late_answer_are_not_lost,
+                     *boost::unit_test::disabled()) {
+  CheckThatTasksRunOnce(6, 900);
+}
+
+}  // namespace lentilscale::testing
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -167,6 +167,9 @@
   }
   // Carries out the next `count` starts without an answer.
   auto LoseStartAnswers(int count) -> void { answers_to_lose_ = count; }
+  // Handles requests at once, but sends each answer made from now on `delay_ms`
+  // later than it was made. An answer that is already late is not hurried.
+  auto DelayAnswers(Millis delay_ms) -> void { answer_delay_ms_ = delay_ms; }
   // All that is started from now on fails.
   auto SetFailing(bool is_failing) -> void { is_failing_ = is_failing; }
 
@@ -200,6 +203,8 @@
   auto HandleHold(const Json::Value& body,
                   const std::shared_ptr<HttpReply>& reply) -> void;
   auto Lists(std::int64_t last_seen) const -> Json::Value;
+  auto SendAnswer(const std::shared_ptr<HttpReply>& reply, int status,
+                  const std::string& body) -> void;
   auto EndRun(const std::string& task, const std::string& how) -> void;
   auto Tick(Millis now_ms) -> void;
   auto ClockMs() const -> Millis;
@@ -219,6 +224,7 @@
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
+  Millis answer_delay_ms_ = 0;
   std::int64_t token_ = 0;
   Millis deadline_ms_ = 0;
   std::int64_t next_end_ = 1;
@@ -234,6 +240,13 @@
     std::shared_ptr<HttpReply> reply_;
   };
   std::vector<Waiting> waiting_;
+  struct LateAnswer {
+    Millis due_ms_;
+    int status_;
+    std::string body_;
+    std::shared_ptr<HttpReply> reply_;
+  };
+  std::vector<LateAnswer> late_answers_;
   std::vector<std::shared_ptr<HttpReply>> unanswered_;
   std::unique_ptr<HttpServer> server_;
 };
