Count an answer that has arrived before the loop handles the timeout

Cause: the loop runs timers before it reads sockets. When it has stood still past a call's timeout, the call was given up although its answer had arrived in time. A scheduler that is busy for half a second then takes all its workers for silent at once, and their ends are lost as above.

Change: a call whose time is over is given up two turns of the loop later. A connection that is made only after the timeout sends nothing, so that kNotSent stays true.

--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::uint64_t kIoTimeoutMs = 3600000;
+// Turns of the loop after a timeout until a call is given up. The write of a
+// request completes in one turn, and its answer is read in the next.
+constexpr int kTimeoutTurns = 3;
 
 struct Pool {
   h2o_socketpool_t pool_{};
@@ -45,6 +48,8 @@
   std::shared_ptr<bool> is_client_alive_;
   bool is_sent_ = false;
   bool is_done_ = false;
+  // Turns of the loop since the timeout; see OnTimeout.
+  int overdue_turns_ = 0;
   Millis late_answer_ms_ = 0;
 };
 
@@ -73,8 +78,15 @@
   return state.is_sent_ ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
 }
 
+// The loop runs timers before it reads sockets. If it stood still, an answer
+// may have arrived in time that has not been read, so the sockets get further
+// turns before the call is given up.
 auto OnTimeout(uv_timer_t* timer) -> void {
   auto* state = static_cast<CallState*>(timer->data);
+  if (++state->overdue_turns_ < kTimeoutTurns) {
+    uv_timer_start(timer, OnTimeout, 1, 0);
+    return;
+  }
   state->pool_->is_silent_ = true;
   if (state->is_sent_ && state->late_answer_ms_ > 0 &&
       !state->result_.is_late_) {
@@ -132,7 +144,7 @@
                h2o_iovec_t** reqbufs, std::size_t* reqbufcnt,
                int* method_is_head) -> h2o_http1client_head_cb {
   auto* state = static_cast<CallState*>(client->data);
-  if (error != nullptr) {
+  if (error != nullptr || state->overdue_turns_ > 0) {
     Finish(state, HttpOutcome::kNotSent);
     return nullptr;
   }
--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -88,8 +88,7 @@
 
 // Guards against TWICE: an end that the worker has listed in time is lost, as
 // the loop handled something else until the call's timeout.
-BOOST_AUTO_TEST_CASE(an_answer_that_arrived_during_a_callback_counts,
-                     *boost::unit_test::disabled()) {
+BOOST_AUTO_TEST_CASE(an_answer_that_arrived_during_a_callback_counts) {
   StandingLoop standing;
   standing.Connect();
   std::optional<HttpResult> result;
@@ -104,8 +103,7 @@
 }
 
 // As above, with a loop that stands still in a timer.
-BOOST_AUTO_TEST_CASE(an_answer_that_arrived_during_a_timer_counts,
-                     *boost::unit_test::disabled()) {
+BOOST_AUTO_TEST_CASE(an_answer_that_arrived_during_a_timer_counts) {
   StandingLoop standing;
   standing.Connect();
   std::optional<HttpResult> result;
