Wait for a large answer of the store while it keeps arriving

Cause: a read of the store was given up as a whole after 700 ms, also while its bytes arrived, and sent again. When several instances read a large value over one link, none gets it in that time. Each attempt is thrown away, the next loads the link as much again, and nothing ends that: the readers themselves keep the link full.

Evidence: in the record the 17 instances of one region receive 5.5 to 6.2 MB/s together from the moment at which 1,400 routes are added until the end, 98 s later, and apply none of the versions; from 68 s on nine more receive 1.06 MB/s each on links of 10 Mbit/s. Of the failed starts in the owner's log 41 of 45 found no connection in time; the workers of known address among them are all in that region.

Each byte is then sent once, and the link is free again when all have read.

An answer that stalls still ends the call.

--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -1,6 +1,6 @@
-// One timer per call bounds the whole call, so that a connection that went
-// silent costs one timeout and is then closed, never reused. Kept connections
-// have a bounded idle age for the same reason.
+// One timer per call bounds the whole call, or the pauses in its answer, so
+// that a connection that went silent costs one timeout and is then closed,
+// never reused. Kept connections have a bounded idle age for the same reason.
 //
 // h2o's pool does not bound the number of connections; the executor keeps
 // within a worker's bound by giving it fewer tasks than it takes connections.
@@ -12,6 +12,7 @@
 #include <h2o/http1client.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <map>
 
 namespace lentilscale {
@@ -50,7 +51,11 @@
   bool is_done_ = false;
   // Turns of the loop since the timeout; see OnTimeout.
   int overdue_turns_ = 0;
+  Millis timeout_ms_ = 0;
   Millis late_answer_ms_ = 0;
+  Millis max_transfer_ms_ = 0;
+  // True if a part of the answer has arrived since the timer was started.
+  bool has_progressed_ = false;
 };
 
 auto Finish(CallState* state, HttpOutcome outcome) -> void {
@@ -78,6 +83,16 @@
   return state.is_sent_ ? HttpOutcome::kUnknown : HttpOutcome::kNotSent;
 }
 
+// Returns the time for which the rest of an answer that keeps arriving is
+// waited for; 0 if it is not.
+auto RemainingTransferMs(const CallState& state) -> Millis {
+  if (!state.has_progressed_) {
+    return 0;
+  }
+  const auto end_ms = state.result_.sent_ms_ + state.max_transfer_ms_;
+  return std::clamp<Millis>(end_ms - BootMs(), 0, state.timeout_ms_);
+}
+
 // The loop runs timers before it reads sockets. If it stood still, an answer
 // may have arrived in time that has not been read, so the sockets get further
 // turns before the call is given up.
@@ -87,6 +102,12 @@
     uv_timer_start(timer, OnTimeout, 1, 0);
     return;
   }
+  if (const auto remaining = RemainingTransferMs(*state); remaining > 0) {
+    state->overdue_turns_ = 0;
+    state->has_progressed_ = false;
+    uv_timer_start(timer, OnTimeout, static_cast<std::uint64_t>(remaining), 0);
+    return;
+  }
   state->pool_->is_silent_ = true;
   if (state->is_sent_ && state->late_answer_ms_ > 0 &&
       !state->result_.is_late_) {
@@ -113,6 +134,7 @@
     Finish(state, HttpOutcome::kUnknown);
     return -1;
   }
+  state->has_progressed_ = true;
   auto* input = client->sock->input;
   state->result_.body_.append(input->bytes, input->size);
   state->counters_->bytes_in_ += input->size;
@@ -132,6 +154,7 @@
     Finish(state, HttpOutcome::kUnknown);
     return nullptr;
   }
+  state->has_progressed_ = true;
   state->result_.status_ = status;
   if (error == h2o_http1client_error_is_eos) {
     Finish(state, HttpOutcome::kAnswered);
@@ -237,7 +260,9 @@
   state->callback_ = std::move(callback);
   state->is_client_alive_ = core_->is_alive_;
   state->result_.sent_ms_ = BootMs();
+  state->timeout_ms_ = std::max<Millis>(call.timeout_ms_, 1);
   state->late_answer_ms_ = call.late_answer_ms_;
+  state->max_transfer_ms_ = call.max_transfer_ms_;
   state->head_ = MakeHead(call);
   state->body_ = std::move(call.body_);
   uv_timer_init(core_->loop_, &state->timer_);
@@ -247,9 +272,8 @@
     return;
   }
   core_->counters_.bytes_out_ += state->head_.size() + state->body_.size();
-  uv_timer_start(
-      &state->timer_, OnTimeout,
-      static_cast<std::uint64_t>(std::max<Millis>(call.timeout_ms_, 1)), 0);
+  uv_timer_start(&state->timer_, OnTimeout,
+                 static_cast<std::uint64_t>(state->timeout_ms_), 0);
   h2o_http1client_connect_with_pool(&state->client_, state, &core_->context_,
                                     &pool->pool_, OnConnect);
 }
--- a/lentilscale/http_client.h
+++ b/lentilscale/http_client.h
@@ -32,7 +32,8 @@
   std::string body_;
   // A key for the Authorization header, or empty.
   std::string bearer_;
-  // Time from now until the call is given up.
+  // Time after which the call is given up: from now or, if max_transfer_ms_ is
+  // longer, without a byte of the answer.
   Millis timeout_ms_ = 1000;
   // Further headers, by name and value.
   std::vector<std::pair<std::string, std::string>> headers_ = {};
@@ -41,6 +42,10 @@
   // Time after the timeout during which a late answer is still reported. The
   // connection is kept open until then.
   Millis late_answer_ms_ = 0;
+  // Time from now until the call is given up although its answer keeps
+  // arriving. A large answer over a slow link is worth waiting for: if it is
+  // thrown away, the retry loads the link as much again.
+  Millis max_transfer_ms_ = 0;
 };
 
 // How a call ended.
