Test placement on workers whose capacity changes

The emulated workers can change their capacity, take time to stop a run and lose stop orders or their answers. A start is judged by the smaller capacity from one heartbeat and 3 s after the change on; runs that are being stopped count until they have ended.

--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr Millis kTickMs = 10;
-constexpr Millis kEntryPeriodMs = 300;
+// A smaller capacity binds starts this long after the entry must show it.
+constexpr Millis kContactMs = 3000;
 constexpr Millis kMaxHoldMs = 10000;
 constexpr Millis kGangWaitMs = 3000;
 constexpr std::size_t kPageItems = 500;
@@ -227,6 +228,10 @@
   } else if (request.path_ == "/kv-range") {
     const auto prefix = request.QueryParam("prefix", "");
     const auto after = request.QueryParam("after", "");
+    if (refused_ranges_.contains(prefix)) {
+      reply->Send(429, "{}");
+      return;
+    }
     answer["items"] = Json::Value(Json::arrayValue);
     answer["truncated"] = false;
     std::size_t bytes = 0;
@@ -377,13 +382,34 @@
   WriteEntry();
 }
 
+auto EmulatedWorker::SetCapacity(std::int64_t cpu_milli,
+                                 std::int64_t accelerators) -> void {
+  next_entry_ms_ = MonotonicMs() + platform_->heartbeat_ms_;
+  former_capacities_.push_back(
+      {cpu_milli_, accelerators_, next_entry_ms_ + kContactMs});
+  cpu_milli_ = cpu_milli;
+  accelerators_ = accelerators;
+}
+
+auto EmulatedWorker::MayHold(std::int64_t cpu_milli, std::int64_t accelerators,
+                             Millis now_ms) const -> bool {
+  return (cpu_milli <= cpu_milli_ && accelerators <= accelerators_) ||
+         std::any_of(former_capacities_.begin(), former_capacities_.end(),
+                     [&](const FormerCapacity& former) {
+                       return now_ms <= former.until_ms_ &&
+                              cpu_milli <= former.cpu_milli_ &&
+                              accelerators <= former.accelerators_;
+                     });
+}
+
 auto EmulatedWorker::ClockMs() const -> Millis {
   // Some start, so that no clock agrees with another by chance.
   return MonotonicMs() - started_ms_ + 7000;
 }
 
 auto EmulatedWorker::WriteEntry() -> void {
-  next_entry_ms_ = MonotonicMs() + kEntryPeriodMs;
+  last_entry_ms_ = MonotonicMs();
+  next_entry_ms_ = last_entry_ms_ + platform_->heartbeat_ms_;
   Json::Value entry(Json::objectValue);
   entry["service"] = service_;
   entry["address"] = address_;
@@ -426,9 +452,17 @@
     RunAfter(platform_->loop_, late_ms_, [carry_out] { carry_out(); });
     return;
   }
+  if (request.path_ == "/run-stop" && stops_to_lose_ > 0) {
+    --stops_to_lose_;
+    unanswered_.push_back(reply);
+    return;
+  }
   auto [status, answer] = carry_out();
-  if (request.path_ == "/run-start" && answers_to_lose_ > 0) {
-    --answers_to_lose_;
+  auto& to_lose =
+      request.path_ == "/run-start" ? answers_to_lose_ : stop_answers_to_lose_;
+  if ((request.path_ == "/run-start" || request.path_ == "/run-stop") &&
+      to_lose > 0) {
+    --to_lose;
     unanswered_.push_back(reply);
     return;
   }
@@ -492,7 +526,11 @@
   }
   const auto it = running_.find(task);
   if (it != running_.end() && it->second.run_ == run) {
-    EndRun(task, "stopped");
+    if (stop_ms_ == 0) {
+      EndRun(task, "stopped");
+    } else if (it->second.stopped_at_ms_ == 0) {
+      it->second.stopped_at_ms_ = MonotonicMs() + stop_ms_;
+    }
   }
   closed_runs_[task] = std::max(closed_runs_[task], run);
   return {200, Json::Value(Json::objectValue)};
@@ -570,7 +608,11 @@
 auto EmulatedWorker::Tick(Millis now_ms) -> void {
   std::vector<std::pair<std::string, std::string>> ends;
   for (auto& [task, run] : running_) {
-    if (run.gang_ > 0 && run.begun_ms_ == 0) {
+    if (run.stopped_at_ms_ != 0) {
+      if (now_ms >= run.stopped_at_ms_) {
+        ends.emplace_back(task, "stopped");
+      }
+    } else if (run.gang_ > 0 && run.begun_ms_ == 0) {
       auto present = 0;
       for (const auto& [id, other] : platform_->workers_) {
         for (const auto& [name, member] : other->running_) {
@@ -601,6 +643,11 @@
     EndRun(task, how);
   }
   if (is_cut_) {
+    if (platform_->entry_ttl_ms_ > 0 && last_entry_ms_ != 0 &&
+        now_ms > last_entry_ms_ + platform_->entry_ttl_ms_) {
+      platform_->store_.Remove("servers/" + id_);
+      last_entry_ms_ = 0;
+    }
     return;
   }
   std::vector<Waiting> open;
@@ -683,9 +730,10 @@
     cpu += run.cpu_milli_;
     accelerators += run.accelerators_;
   }
-  if (cpu > worker.cpu_milli_ || accelerators > worker.accelerators_) {
+  if (!worker.MayHold(cpu, accelerators, MonotonicMs())) {
     violations_.push_back(
-        fmt::format("the start of {} overfills {}", task, worker.id_));
+        fmt::format("the start of {} overfills {}: {} of {} milli-processors",
+                    task, worker.id_, cpu, worker.cpu_milli_));
   }
   if (done_.contains(task)) {
     violations_.push_back(fmt::format("{} starts after it was done", task));
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -65,6 +65,14 @@
   auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
     page_hook_ = std::move(hook);
   }
+  // While true, reads of the keys that begin with `prefix` are refused.
+  auto SetRangeRefused(const std::string& prefix, bool is_refused) -> void {
+    if (is_refused) {
+      refused_ranges_.insert(prefix);
+    } else {
+      refused_ranges_.erase(prefix);
+    }
+  }
   // While true, no watch returns, whatever is written.
   auto SetWatchesDeaf(bool is_deaf) -> void { is_deaf_ = is_deaf; }
   // Forgets all history, so that watches must read anew.
@@ -133,6 +141,7 @@
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
   std::function<void(const std::string&)> page_hook_;
+  std::set<std::string> refused_ranges_;
   std::int64_t revision_ = 1;
   std::int64_t first_kept_ = 1;
   std::int64_t next_lease_ = 100;
@@ -167,6 +176,14 @@
   }
   // Carries out the next `count` starts without an answer.
   auto LoseStartAnswers(int count) -> void { answers_to_lose_ = count; }
+  // Carries out the next `count` stops without an answer.
+  auto LoseStopAnswers(int count) -> void { stop_answers_to_lose_ = count; }
+  // Neither carries out nor answers the next `count` stops.
+  auto LoseStops(int count) -> void { stops_to_lose_ = count; }
+  // Stops take this long from now on.
+  auto SetStopDuration(Millis ms) -> void { stop_ms_ = ms; }
+  // Changes the capacity; the entry shows it one heartbeat later.
+  auto SetCapacity(std::int64_t cpu_milli, std::int64_t accelerators) -> void;
   // All that is started from now on fails.
   auto SetFailing(bool is_failing) -> void { is_failing_ = is_failing; }
 
@@ -185,6 +202,14 @@
     Millis arrived_ms_;
     int gang_;
     bool fails_;
+    // When a stop ends the run; 0 until it is stopped.
+    Millis stopped_at_ms_ = 0;
+  };
+  // A larger capacity of before, and until when starts may rely on it.
+  struct FormerCapacity {
+    std::int64_t cpu_milli_;
+    std::int64_t accelerators_;
+    Millis until_ms_;
   };
   struct End {
     std::int64_t number_;
@@ -201,6 +226,9 @@
                   const std::shared_ptr<HttpReply>& reply) -> void;
   auto Lists(std::int64_t last_seen) const -> Json::Value;
   auto EndRun(const std::string& task, const std::string& how) -> void;
+  // Returns true if starts may bring the worker to these sums.
+  auto MayHold(std::int64_t cpu_milli, std::int64_t accelerators,
+               Millis now_ms) const -> bool;
   auto Tick(Millis now_ms) -> void;
   auto ClockMs() const -> Millis;
   auto WriteEntry() -> void;
@@ -211,6 +239,7 @@
   std::string address_;
   std::int64_t cpu_milli_;
   std::int64_t accelerators_;
+  std::vector<FormerCapacity> former_capacities_;
   std::int64_t born_ms_ = 0;
   Millis started_ms_ = 0;
   bool is_cut_ = false;
@@ -219,11 +248,16 @@
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
+  int stop_answers_to_lose_ = 0;
+  int stops_to_lose_ = 0;
+  Millis stop_ms_ = 0;
   std::int64_t token_ = 0;
   Millis deadline_ms_ = 0;
   std::int64_t next_end_ = 1;
   std::int64_t entry_number_ = 0;
   Millis next_entry_ms_ = 0;
+  // 0 once the entry has expired.
+  Millis last_entry_ms_ = 0;
   std::map<std::string, Run> running_;
   std::vector<End> ended_;
   // The highest run that was stopped or ended, by task.
@@ -251,6 +285,12 @@
   auto worker(const std::string& id) -> EmulatedWorker& {
     return *workers_.at(id);
   }
+  // Workers write their entries this often from now on. The entry of a worker
+  // that is cut off expires after three times as long.
+  auto SetHeartbeat(Millis ms) -> void {
+    heartbeat_ms_ = ms;
+    entry_ttl_ms_ = 3 * ms;
+  }
   // Registers what a task takes, by the job's id; starts are judged by it.
   auto SetDemand(const std::string& job, std::int64_t cpu_milli,
                  std::int64_t accelerators) -> void {
@@ -278,6 +318,9 @@
 
   uv_loop_t* loop_;
   EmulatedStore store_;
+  Millis heartbeat_ms_ = 300;
+  // 0 if entries do not expire.
+  Millis entry_ttl_ms_ = 0;
   std::string advice_address_;
   std::map<std::string, std::unique_ptr<EmulatedWorker>> workers_;
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> demands_;
