Start nothing on a worker by an entry that was read long ago

While the store refuses or answers no reads, an owner may act for up to 10 s without it, or for as long as its lease is renewed. Placement went on by the capacity in the last entry that was read, so a worker whose capacity shrank meanwhile was filled beyond it for seconds (LIMIT).

A read now allows starts for 2.5 s from its sending: a shrink that it does not show began at most a heartbeat before it, and starts are judged by the smaller capacity 3 s and a heartbeat after the shrink; half a second is left for the order. Running tasks keep their leases, and single failed reads stop nothing.

Not covered: a worker that the store cannot hear although the owner can. Its last entry is shown unchanged until it expires.

--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -17,6 +17,11 @@
 // How often the workers' entries are read: a worker that leaves must get no
 // tasks later than 2.5 s after the store shows it.
 constexpr Millis kListPeriodMs = 600;
+// A worker shows a smaller capacity in its entry within a heartbeat, and must
+// not be filled beyond it 3 s later. A read therefore allows starts for 3 s
+// from its sending, of which the delivery of the start order may take half a
+// second.
+constexpr Millis kEntryValidityMs = 2500;
 // Workers whose entries expired during an outage of the store register again
 // within 2 s of its return.
 constexpr Millis kUnlistedGraceMs = 2500;
@@ -60,6 +65,8 @@
     if (entry.ok()) {
       listed.insert(entry->id_);
       HandleWorkerEntry(*entry, record.revision_, now);
+      workers_[entry->id_].entry_valid_until_ms_ =
+          result.sent_ms_ + kEntryValidityMs;
     }
   }
   for (auto& [id, worker] : workers_) {
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -162,7 +162,8 @@
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
          IsEntryCurrent() && !entry_.is_draining_ && clock_updated_ms_ != 0 &&
          restart_proved_ms_ == 0 && hold_failures_ < kHoldFailureLimit &&
-         unknown_demand_runs_ == 0 && now_ms >= no_starts_until_ms_ &&
+         unknown_demand_runs_ == 0 && now_ms <= entry_valid_until_ms_ &&
+         now_ms >= no_starts_until_ms_ &&
          now_ms >= QuarantineEndMs(is_long_running);
 }
 
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -125,6 +125,9 @@
   // if no such time is known.
   std::int64_t entry_revision_ = 0;
   Millis entry_written_after_ms_ = 0;
+  // No task is started here after this time, since the worker's capacity may
+  // have shrunk since the entry was read.
+  Millis entry_valid_until_ms_ = kNeverMs;
   // True if the worker has deleted its entry, as it does when it shuts down,
   // and has answered no call that was sent since.
   bool has_deleted_entry_ = false;
--- a/testing/fleet_capacity_test.cc
+++ b/testing/fleet_capacity_test.cc
@@ -243,6 +243,69 @@
   fleet.CheckPromises();
 }
 
+// Guards against LIMIT: starts by an old entry while the store answers no one,
+// which the owner's rights outlast.
+BOOST_AUTO_TEST_CASE(nothing_starts_by_old_entries_while_the_store_is_down) {
+  for (const auto mode :
+       {EmulatedStore::Mode::kRefusing, EmulatedStore::Mode::kSilent}) {
+    Fleet fleet(2, 1);
+    // Reports of the other instance prolong the rights.
+    fleet.RunFor(1500);
+    BOOST_TEST(fleet.Submit(kJob, "ms=200", {{250}}) == 200);
+    BOOST_TEST(fleet.WaitForRunning(kJob, 4));
+    for (const auto entrance : {0, 1}) {
+      fleet.platform().store().SetEntranceMode(
+          static_cast<std::size_t>(entrance), mode);
+    }
+    fleet.worker(0).SetCapacity(1000, 0);
+    const auto starts = fleet.platform().StartsOf(kJob);
+    fleet.RunFor(kSettledMs + 5000);
+    // Right after the failure work goes on.
+    BOOST_TEST(fleet.platform().StartsOf(kJob) > starts + 8);
+    for (const auto entrance : {0, 1}) {
+      fleet.platform().store().SetEntranceMode(
+          static_cast<std::size_t>(entrance), EmulatedStore::Mode::kUp);
+    }
+    const auto resumed = fleet.platform().StartsOf(kJob);
+    BOOST_TEST(fleet.RunUntil(
+        [&] { return fleet.platform().StartsOf(kJob) >= resumed + 10; }));
+    fleet.CheckPromises();
+  }
+}
+
+// Guards against LIMIT: the store renews the owner's rights, but refuses to
+// list the workers.
+BOOST_AUTO_TEST_CASE(nothing_starts_by_old_entries_while_lists_are_refused) {
+  Fleet fleet(1, 1);
+  BOOST_TEST(fleet.Submit(kJob, "ms=200", {{250}}) == 200);
+  BOOST_TEST(fleet.WaitForRunning(kJob, 4));
+  fleet.platform().store().SetRangeRefused("servers/", true);
+  fleet.worker(0).SetCapacity(1000, 0);
+  fleet.RunFor(kSettledMs + 2000);
+  fleet.platform().store().SetRangeRefused("servers/", false);
+  const auto resumed = fleet.platform().StartsOf(kJob);
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.platform().StartsOf(kJob) >= resumed + 10; }));
+  fleet.CheckPromises();
+}
+
+// Guards against LOST: a single read of the workers that fails stops all work.
+BOOST_AUTO_TEST_CASE(work_goes_on_between_failed_reads) {
+  Fleet fleet(1, 1);
+  BOOST_TEST(fleet.Submit(kJob, "ms=100", {{400}}) == 200);
+  BOOST_TEST(fleet.WaitForRunning(kJob, 4));
+  for (auto i = 0; i < 4; ++i) {
+    fleet.platform().store().SetRangeRefused("servers/", true);
+    fleet.RunFor(1000);
+    const auto starts = fleet.platform().StartsOf(kJob);
+    fleet.RunFor(500);
+    BOOST_TEST(fleet.platform().StartsOf(kJob) >= starts + 8);
+    fleet.platform().store().SetRangeRefused("servers/", false);
+    fleet.RunFor(700);
+  }
+  fleet.CheckPromises();
+}
+
 // Guards against LIMIT: starts by an entry of another writer, whose capacity is
 // missing or of another type.
 BOOST_AUTO_TEST_CASE(an_entry_without_a_valid_capacity_brings_no_starts) {
