Send orders only to addresses that are IP:port

What operators saw elsewhere: one entry with a port out of range among the workers' made the machines that read the list lose workers.

Cause: nothing checked a worker's address, and HttpClient read the port with atoi into 16 bits. 127.0.0.1:80000 became 127.0.0.1:14464, and "8080x" 8080. An entry that overwrote that of a live worker replaced its address, so its Hold calls went to a process that nobody named or nowhere, its lease ran out, and its tasks were started again.

Endpoint reads IP:port strictly. HttpClient refuses any other address, whoever wrote it (owner's record, reports of instances, boot file).

--- a/lentilscale/http_client.cc
+++ b/lentilscale/http_client.cc
@@ -14,6 +14,8 @@
 
 #include <map>
 
+#include "lentilscale/endpoint.h"
+
 namespace lentilscale {
 namespace {
 
@@ -165,15 +167,11 @@
       retired_pools_.push_back(std::move(it->second));
       pools_.erase(it);
     }
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-      return nullptr;
-    }
-    sockaddr_in addr{};
-    const auto port = std::atoi(address.c_str() + colon + 1);
-    if (uv_ip4_addr(address.substr(0, colon).c_str(), port, &addr) != 0) {
+    const auto endpoint = Endpoint::FromString(address);
+    if (!endpoint.ok()) {
       return nullptr;
     }
+    auto addr = endpoint->socket_address();
     auto pool = std::make_unique<Pool>();
     h2o_socketpool_init_by_address(&pool->pool_,
                                    reinterpret_cast<sockaddr*>(&addr),
--- /dev/null
+++ b/testing/odd_records_test.cc
@@ -0,0 +1,456 @@
+// What another party wrote and cannot be read: workers' entries, records in the
+// store, answers of workers, of the advice service, of the store and of other
+// instances. It must neither end the process nor keep it from what can be read
+// beside it, and nothing is sent to an address that is not IP:port.
+
+#define BOOST_TEST_MODULE odd_records
+#include <fmt/format.h>
+#include <signal.h>
+#include <uv.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/peer_client.h"
+#include "lentilscale/http_client.h"
+#include "lentilscale/http_server.h"
+#include "lentilscale/json.h"
+#include "lentilscale/log.h"
+#include "lentilscale/timer.h"
+#include "platform/kv_store.h"
+#include "platform/platform_node.h"
+#include "platform/workers.h"
+#include "testing/free_address_stand_in.h"
+#include "testing/platform_emulator_stand_in.h"
+
+namespace lentilscale {
+namespace {
+
+// Cases wait for conditions; this bounds a case that never gets there.
+constexpr Millis kPatienceMs = 20000;
+// The ports that are one more than can be told apart by 16 bits.
+constexpr int kPorts = 65536;
+
+auto RunUntil(const std::function<bool()>& condition) -> bool {
+  const auto until = MonotonicMs() + kPatienceMs;
+  RepeatingTimer waker(uv_default_loop(), 5, [] {});
+  while (!condition() && MonotonicMs() < until) {
+    uv_run(uv_default_loop(), UV_RUN_ONCE);
+  }
+  return condition();
+}
+
+auto Nested(int depth) -> std::string {
+  return std::string(static_cast<std::size_t>(depth), '[') +
+         std::string(static_cast<std::size_t>(depth), ']');
+}
+
+// Values that are not what a member should be.
+auto OddValues() -> std::vector<std::string> {
+  return {"null",
+          "true",
+          "\"x\"",
+          "\"\"",
+          "{}",
+          "[]",
+          "[[]]",
+          "{\"a\":{}}",
+          "-1",
+          "0.5",
+          "1e300",
+          "-1e300",
+          "1e400",
+          "9223372036854775807",
+          "9223372036854775808",
+          "-9223372036854775809",
+          "18446744073709551616",
+          "99999999999999999999999",
+          Nested(40),
+          Nested(200000)};
+}
+
+// A server that gives the same answer to every request and counts them.
+class AnsweringServer {
+ public:
+  auto Answer(int status, const std::string& body) -> void {
+    status_ = status;
+    body_ = body;
+  }
+  auto port() const -> int { return server_->port(); }
+  auto address() const -> std::string {
+    return fmt::format("127.0.0.1:{}", port());
+  }
+  auto requests() const -> int { return requests_; }
+
+ private:
+  int status_ = 200;
+  std::string body_ = "{}";
+  int requests_ = 0;
+  std::unique_ptr<HttpServer> server_ = *HttpServer::Listen(
+      uv_default_loop(), "127.0.0.1", 0, HttpLimits{},
+      [this](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        ++requests_;
+        reply->Send(status_, body_);
+      });
+};
+
+// Each method makes one call, which `server_` answers with `body`.
+struct Caller {
+  AnsweringServer server_;
+  HttpClient client_{uv_default_loop(), HttpClient::Options{}};
+
+  Caller() { SetLogLevel(LogLevel::kError); }
+
+  template <typename Result>
+  auto Await(
+      const std::function<void(std::function<void(const Result&)>)>& call)
+      -> Result {
+    auto result = std::make_shared<std::optional<Result>>();
+    call([result](const Result& answer) { *result = answer; });
+    BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+    return **result;
+  }
+
+  auto Start(const std::string& body, int status = 200) -> fleet::OrderResult {
+    server_.Answer(status, body);
+    platform::HttpWorkerGateway gateway(&client_);
+    fleet::WorkerEntry worker;
+    worker.id_ = "i-1";
+    worker.address_ = server_.address();
+    return Await<fleet::OrderResult>([&](const auto& done) {
+      gateway.Start(worker, fleet::StartOrder{}, done);
+    });
+  }
+  auto Hold(const std::string& body) -> fleet::HoldResult {
+    server_.Answer(200, body);
+    platform::HttpWorkerGateway gateway(&client_);
+    fleet::WorkerEntry worker;
+    worker.id_ = "i-1";
+    worker.address_ = server_.address();
+    return Await<fleet::HoldResult>([&](const auto& done) {
+      gateway.Hold(worker, fleet::HoldOrder{}, done);
+    });
+  }
+  auto Advise(const std::string& body) -> fleet::AdviceResult {
+    server_.Answer(200, body);
+    platform::HttpAdviceGateway gateway(&client_, server_.address());
+    return Await<fleet::AdviceResult>([&](const auto& done) {
+      gateway.RequestAdvice("a.0.0", {"i-1"}, 10, done);
+    });
+  }
+  auto AdviseThroughPeer(const std::string& body) -> fleet::AdviceResult {
+    server_.Answer(200, body);
+    fleet::PeerClient peers(&client_);
+    fleet::AdviceRequest request;
+    request.step_name_ = "a.0.0";
+    request.worker_ids_ = {"i-1"};
+    request.expected_ms_ = 10;
+    return Await<fleet::AdviceResult>([&](const auto& done) {
+      peers.RequestAdvice(server_.address(), request, done);
+    });
+  }
+  // Returns true if the peer's answer to a report was taken.
+  auto Report(const std::string& body) -> bool {
+    server_.Answer(200, body);
+    fleet::PeerClient peers(&client_);
+    const auto requests = server_.requests();
+    auto is_taken = std::make_shared<bool>(false);
+    peers.SendReport(
+        server_.address(), fleet::InstanceReport{},
+        [is_taken](const fleet::ReportAnswer&) { *is_taken = true; }, [] {});
+    BOOST_REQUIRE(RunUntil([&] { return server_.requests() > requests; }));
+    // The callback runs only for an answer that is taken; a call on the same
+    // connection is answered after it.
+    Start("{}");
+    return *is_taken;
+  }
+  auto ReadPrefix(const std::string& body) -> fleet::ReadResult {
+    server_.Answer(200, body);
+    platform::KvStore store(&client_, server_.address());
+    return Await<fleet::ReadResult>(
+        [&](const auto& done) { store.ReadPrefix("servers/", done); });
+  }
+  auto Read(const std::string& body) -> fleet::ReadResult {
+    server_.Answer(200, body);
+    platform::KvStore store(&client_, server_.address());
+    return Await<fleet::ReadResult>(
+        [&](const auto& done) { store.Read("op/config", done); });
+  }
+  auto Watch(const std::string& body) -> fleet::ReadResult {
+    server_.Answer(200, body);
+    platform::KvStore store(&client_, server_.address());
+    return Await<fleet::ReadResult>(
+        [&](const auto& done) { store.Watch("op/config", 1, 10, done); });
+  }
+};
+
+auto EntryWithAddress(const std::string& address) -> std::string {
+  return fmt::format(R"({{"service":"s","address":"{}","state":"ready",)"
+                     R"("capacity":{{"cpu":64000,"mem_mb":65536,"gpu":8}},)"
+                     R"("labels":["a","r1"],"born":1700000000000}})",
+                     address);
+}
+
+auto EntryWith(const std::string& member, const std::string& value)
+    -> std::string {
+  return fmt::format(R"({{"service":"s","address":"127.0.0.1:9",)"
+                     R"("state":"ready","{}":{}}})",
+                     member, value);
+}
+
+// Texts that are not IP:port with a port from 1 to 65535.
+auto OddAddresses() -> std::vector<std::string> {
+  return {"",
+          "nonsense",
+          ":",
+          ":80",
+          "10.0.0.1",
+          "10.0.0.1:",
+          "10.0.0.1:0",
+          "10.0.0.1:-1",
+          "10.0.0.1:+80",
+          "10.0.0.1: 80",
+          "10.0.0.1:80 ",
+          "10.0.0.1:80x",
+          "10.0.0.1:0x50",
+          "10.0.0.1:8.0",
+          "10.0.0.1:65536",
+          "10.0.0.1:80000",
+          "10.0.0.1:4294967376",
+          "10.0.0.1:99999999999",
+          "10.0.0.1:18446744073709551696",
+          "10.0.0:80",
+          "10.0.0.256:80",
+          "10.0.0.1.1:80",
+          " 10.0.0.1:80",
+          "host.example:80",
+          "http://10.0.0.1:80",
+          "10.0.0.1:80:80",
+          "[::1]:80",
+          "10.0.0.1:80\\r\\nX-A: b",
+          "10.0.0.1\\u0000:80",
+          "10.0.0.1:80\\u0000"};
+}
+
+// Store, workers and instances on one event loop.
+class Fleet {
+ public:
+  Fleet() {
+    signal(SIGPIPE, SIG_IGN);
+    SetLogLevel(LogLevel::kError);
+    platform_.store().Put(
+        "op/config",
+        R"({"version":1,"routes":[{"name":"q","host":"h.example",)"
+        R"("prefix":"/q/","service":"s","priority":1,"max_attempts":3,)"
+        R"("stretch":2.0,"target_duration_ms":300,"public":true}],)"
+        R"("limits":{},"tenants":[]})");
+  }
+
+  auto platform() -> testing::PlatformEmulator& { return platform_; }
+
+  auto AddNode() -> void {
+    platform::BootFile boot;
+    boot.node_name_ = fmt::format("node-{}", nodes_.size());
+    boot.client_address_ = testing::FreeAddress();
+    boot.peer_address_ = testing::FreeAddress();
+    boot.store_address_ = platform_.store().address();
+    boot.advice_address_ = platform_.advice_address();
+    boot.max_stop_ms_ = 200;
+    auto node = platform::PlatformNode::Create(uv_default_loop(), boot);
+    BOOST_REQUIRE_MESSAGE(node.ok(), node.status().ToString());
+    client_address_ = boot.client_address_;
+    nodes_.push_back(*std::move(node));
+  }
+  auto KillNodes() -> void { nodes_.clear(); }
+
+  // Returns the status and the body.
+  auto Call(const std::string& method, const std::string& id,
+            const std::string& body) -> std::pair<int, std::string> {
+    auto answer = std::make_shared<std::optional<HttpResult>>();
+    client_.Send(
+        {client_address_, method, "/q/" + id, body, "", 3000, {}, "h.example"},
+        [answer](const HttpResult& result) { *answer = result; });
+    BOOST_REQUIRE(RunUntil([&] { return answer->has_value(); }));
+    return {(*answer)->status_, (*answer)->body_};
+  }
+
+  // Hands a job of `count` tasks in, until it is accepted.
+  auto Submit(const std::string& id, const std::string& spec, int count)
+      -> void {
+    platform_.SetDemand(id, 1000, 0);
+    const auto body = fmt::format(
+        R"({{"spec":"{}","steps":[{{"count":{},"cpu":1000,"mem_mb":10,)"
+        R"("estimate_ms":100}}]}})",
+        spec, count);
+    const auto until = MonotonicMs() + kPatienceMs;
+    while (Call("POST", id, body).first != 200) {
+      BOOST_REQUIRE(MonotonicMs() < until);
+    }
+  }
+
+  auto IsCompleted(const std::string& id) -> bool {
+    const auto until = MonotonicMs() + kPatienceMs;
+    while (MonotonicMs() < until) {
+      const auto answer = Call("GET", id, "");
+      if (answer.first == 200 &&
+          ParseJson(answer.second)["state"].asString() == "completed") {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  auto CheckPromises() -> void {
+    for (const auto& violation : platform_.violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+
+ private:
+  testing::PlatformEmulator platform_{uv_default_loop()};
+  HttpClient client_{uv_default_loop(), HttpClient::Options{}};
+  std::vector<std::unique_ptr<platform::PlatformNode>> nodes_;
+  std::string client_address_;
+};
+
+constexpr auto kJob = "00000000000000a1";
+
+}  // namespace
+
+// Guards against: an order goes to a port that nobody named, the remainder of
+// a number by 65536 or the digits before other text.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_to_an_address_that_is_not_ip_and_port) {
+  Caller caller;
+  const auto port = caller.server_.port();
+  const auto send = [&](const std::string& address) {
+    return caller
+        .Await<HttpResult>([&](const auto& done) {
+          caller.client_.Send({address, "POST", "/", "{}", "", 500}, done);
+        })
+        .outcome_;
+  };
+  BOOST_TEST((send(caller.server_.address()) == HttpOutcome::kAnswered));
+  BOOST_REQUIRE_EQUAL(caller.server_.requests(), 1);
+  for (const auto& text :
+       {fmt::format("127.0.0.1:{}", port + kPorts),
+        fmt::format("127.0.0.1:{}", port - kPorts),
+        fmt::format("127.0.0.1:{}", 4294967296 + port),
+        fmt::format("127.0.0.1:{}x", port), fmt::format("127.0.0.1:+{}", port),
+        fmt::format("127.0.0.1: {}", port), fmt::format("127.0.0.1:{} ", port),
+        fmt::format("127.0.0.1:{}\r\nX-A: b", port),
+        std::string("127.0.0.1\0:", 11) + std::to_string(port),
+        std::string("nonsense"), std::string()}) {
+    BOOST_TEST((send(text) == HttpOutcome::kNotSent), "address: " << text);
+  }
+  BOOST_TEST(caller.server_.requests() == 1);
+}
+
+// Guards against: an odd entry replaces the address of a worker that runs
+// tasks, or names one.
+BOOST_AUTO_TEST_CASE(an_entry_without_ip_and_port_names_no_worker) {
+  for (const auto* address :
+       {"10.0.0.1:1", "10.0.0.1:80", "255.1.2.3:65535", "127.0.0.1:7001"}) {
+    BOOST_TEST(
+        platform::ParseWorkerEntry("servers/i-1", EntryWithAddress(address))
+            .ok(),
+        "address: " << address);
+  }
+  for (const auto& address : OddAddresses()) {
+    BOOST_TEST(
+        !platform::ParseWorkerEntry("servers/i-1", EntryWithAddress(address))
+             .ok(),
+        "address: " << address);
+  }
+}
+
+// A value that cannot be read is refused, and the next text is read as usual.
+BOOST_AUTO_TEST_CASE(odd_values_in_an_entry_are_refused_or_ignored) {
+  for (const auto& value : OddValues()) {
+    for (const auto* member :
+         {"capacity", "labels", "born", "zone", "seq_no", "other"}) {
+      static_cast<void>(
+          platform::ParseWorkerEntry("servers/i-1", EntryWith(member, value))
+              .ok());
+    }
+    static_cast<void>(platform::ParseWorkerEntry("servers/i-1", value).ok());
+    BOOST_TEST(platform::ParseWorkerEntry("servers/i-1",
+                                          EntryWithAddress("10.0.0.1:80"))
+                   .ok(),
+               "after: " << value.substr(0, 40));
+  }
+}
+
+// Guards against: one odd entry among those of the workers ends the owner,
+// keeps it from the others, or receives orders at a port that it didn't name.
+BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
+  Fleet fleet;
+  AnsweringServer bystander;
+  auto& store = fleet.platform().store();
+  auto number = 0;
+  const auto put = [&](const std::string& text) {
+    store.Put(fmt::format("servers/a-{}", ++number), text);
+    store.Put(fmt::format("servers/z-{}", ++number), text);
+  };
+  for (const auto& value : OddValues()) {
+    put(value.substr(0, 4000));
+    put(EntryWith("capacity", value.substr(0, 4000)));
+    put(EntryWith("born", value.substr(0, 4000)));
+  }
+  put("\xff\xfe\x01");
+  put(EntryWith("x", Nested(20000)));
+  for (const auto& address : OddAddresses()) {
+    put(EntryWithAddress(address));
+  }
+  put(EntryWithAddress(fmt::format("127.0.0.1:{}", bystander.port() + kPorts)));
+  fleet.platform().AddWorker("i-0", "s", 4000, 4);
+  fleet.platform().AddWorker("i-1", "s", 4000, 4);
+  fleet.AddNode();
+  fleet.Submit(kJob, "ms=300", 8);
+  BOOST_TEST(RunUntil([&] { return fleet.platform().RunningOf(kJob) == 8; }));
+  BOOST_TEST(fleet.IsCompleted(kJob));
+  BOOST_TEST(fleet.platform().StartsOf(kJob) == 8);
+  BOOST_TEST(bystander.requests() == 0);
+  fleet.CheckPromises();
+}
+
+// Guards against: runs that are taken for lost and started again, because the
+// entry of a worker that goes on was overwritten by another writer.
+BOOST_AUTO_TEST_CASE(an_overwritten_entry_does_not_lose_a_workers_runs) {
+  Fleet fleet;
+  fleet.platform().AddWorker("i-0", "s", 4000, 4);
+  fleet.AddNode();
+  AnsweringServer bystander;
+  const std::vector<std::string> texts = {
+      "\xff\xfe",
+      EntryWith("capacity", Nested(5000)),
+      EntryWith("capacity", R"({"cpu":99999999999999999999999})"),
+      EntryWithAddress("127.0.0.1:80000"),
+      EntryWithAddress("nonsense"),
+      EntryWithAddress(fmt::format("127.0.0.1:{}", bystander.port() + kPorts))};
+  for (std::size_t i = 0; i < texts.size(); ++i) {
+    BOOST_TEST_CONTEXT(texts[i].substr(0, 120)) {
+      const auto job = fmt::format("{:016x}", i + 1);
+      fleet.Submit(job, "ms=7500", 2);
+      BOOST_REQUIRE(
+          RunUntil([&] { return fleet.platform().RunningOf(job) == 2; }));
+      {
+        // More often than the worker writes it.
+        RepeatingTimer overwriter(uv_default_loop(), 2, [&] {
+          fleet.platform().store().Put("servers/i-0", texts[i]);
+        });
+        BOOST_TEST(
+            RunUntil([&] { return fleet.platform().RunningOf(job) == 0; }));
+      }
+      BOOST_TEST(fleet.IsCompleted(job));
+      BOOST_TEST(fleet.platform().StartsOf(job) == 2);
+    }
+  }
+  BOOST_TEST(bystander.requests() == 0);
+  fleet.CheckPromises();
+}
+
+}  // namespace lentilscale
