Refuse a boot file whose addresses are not IP:port

Ports were read with atoi, so a process whose file says 10.0.0.1:80000 listened at port 14464, or called a store there.

--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -21,6 +21,7 @@
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
+#include "platform/boot_file.h"
 #include "platform/kv_store.h"
 #include "platform/platform_node.h"
 #include "platform/workers.h"
@@ -367,6 +368,32 @@
   }
 }
 
+// Guards against: a process that listens at, or calls, a port that its boot
+// file does not name.
+BOOST_AUTO_TEST_CASE(a_boot_file_with_an_odd_address_is_refused) {
+  const auto text = [](const std::string& frontend, const std::string& store,
+                       const std::string& advice = "10.0.0.9:9") {
+    return fmt::format(
+        "listen: {{frontend: \"{}\", readiness: \"10.0.0.1:2\"}}\n"
+        "port_range: [7180, 7195]\nadvice: \"{}\"\n"
+        "platform: {{address: \"{}\"}}\n",
+        frontend, advice, store);
+  };
+  using platform::BootFile;
+  BOOST_TEST(BootFile::FromText(text("10.0.0.1:1", "10.0.0.8:8")).ok());
+  BOOST_TEST(BootFile::FromText(text("10.0.0.1:1", "10.0.0.8:8", "")).ok());
+  for (const auto& address : OddAddresses()) {
+    BOOST_TEST_CONTEXT(address) {
+      BOOST_TEST(!BootFile::FromText(text(address, "10.0.0.8:8")).ok());
+      BOOST_TEST(!BootFile::FromText(text("10.0.0.1:1", address)).ok());
+      BOOST_TEST((
+          address.empty() ||
+          !BootFile::FromText(text("10.0.0.1:1", "10.0.0.8:8", address)).ok()));
+    }
+  }
+  BOOST_TEST(!BootFile::FromText(std::string(200000, '[')).ok());
+}
+
 // A value that cannot be read is refused, and the next text is read as usual.
 BOOST_AUTO_TEST_CASE(odd_values_in_an_entry_are_refused_or_ignored) {
   for (const auto& value : OddValues()) {
