--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -394,6 +394,20 @@
   BOOST_TEST(!BootFile::FromText(std::string(200000, '[')).ok());
 }
 
+// Guards against: an order with header lines that another writer chose; the
+// worker's id is sent in a header.
+BOOST_AUTO_TEST_CASE(an_id_that_no_header_can_carry_names_no_worker) {
+  const auto entry = EntryWithAddress("10.0.0.1:80");
+  BOOST_TEST(platform::ParseWorkerEntry("servers/i-1.b_2/3", entry).ok());
+  for (const std::string& id :
+       {std::string("i\r\nContent-Length: 0"), std::string("i\n"),
+        std::string("i\0x", 3), std::string("i 1"), std::string("i\t"),
+        std::string("\x7f"), std::string("i\xff"), std::string()}) {
+    BOOST_TEST(!platform::ParseWorkerEntry("servers/" + id, entry).ok(),
+               "id: " << id);
+  }
+}
+
 // A value that cannot be read is refused, and the next text is read as usual.
 BOOST_AUTO_TEST_CASE(odd_values_in_an_entry_are_refused_or_ignored) {
   for (const auto& value : OddValues()) {
