Throw Error for members of what is not an object

json.h says that every mismatch is an Error. JsonCpp throws an exception of its own when a member is read from a number, a text or a list, and many callers catch only Error, for example InstanceList::Apply: an item of the instances' list that is no object ended the process. The typed readers look members up by one function now, which checks the type first.

--- a/lentilscale/json.cc
+++ b/lentilscale/json.cc
@@ -20,6 +20,16 @@
   throw Error(ErrorCode::kBadRequest, fmt::format("'{}' {}", name, problem));
 }
 
+// Returns the member `name`, or null if it or the object is absent. JsonCpp
+// throws an exception of its own for a value of another type.
+auto FindMember(const Json::Value& object, const char* name)
+    -> const Json::Value& {
+  if (!object.isObject() && !object.isNull()) {
+    ThrowBadMember(name, "must be a member of an object");
+  }
+  return object[name];
+}
+
 auto MakeReader() -> std::unique_ptr<Json::CharReader> {
   Json::CharReaderBuilder builder;
   Json::CharReaderBuilder::strictMode(&builder.settings_);
@@ -62,7 +72,7 @@
 }
 
 auto RequireString(const Json::Value& object, const char* name) -> std::string {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (!value.isString() || value.asString().empty()) {
     ThrowBadMember(name, "must be a non-empty string");
   }
@@ -71,7 +81,7 @@
 
 auto GetString(const Json::Value& object, const char* name,
                const std::string& fallback) -> std::string {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (value.isNull()) {
     return fallback;
   }
@@ -83,12 +93,13 @@
 
 auto GetInt(const Json::Value& object, const char* name, std::int64_t fallback,
             std::int64_t min, std::int64_t max) -> std::int64_t {
-  return object[name].isNull() ? fallback : RequireInt(object, name, min, max);
+  return FindMember(object, name).isNull() ? fallback
+                                           : RequireInt(object, name, min, max);
 }
 
 auto RequireInt(const Json::Value& object, const char* name, std::int64_t min,
                 std::int64_t max) -> std::int64_t {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (!value.isInt64()) {
     ThrowBadMember(name, "must be an integer");
   }
@@ -101,7 +112,7 @@
 
 auto GetBool(const Json::Value& object, const char* name, bool fallback)
     -> bool {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (value.isNull()) {
     return fallback;
   }
@@ -112,7 +123,7 @@
 }
 
 auto GetArray(const Json::Value& object, const char* name) -> Json::Value {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (value.isNull()) {
     return Json::Value(Json::arrayValue);
   }
@@ -123,7 +134,7 @@
 }
 
 auto GetObject(const Json::Value& object, const char* name) -> Json::Value {
-  const auto& value = object[name];
+  const auto& value = FindMember(object, name);
   if (value.isNull()) {
     return Json::Value(Json::objectValue);
   }
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -16,11 +16,14 @@
 #include <vector>
 
 #include "fleet/peer_client.h"
+#include "lentilscale/error.h"
 #include "lentilscale/http_client.h"
 #include "lentilscale/http_server.h"
+#include "lentilscale/instance_list.h"
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
+#include "lentilscale/worker_protocol.h"
 #include "platform/boot_file.h"
 #include "platform/kv_store.h"
 #include "platform/platform_node.h"
@@ -408,6 +411,48 @@
   }
 }
 
+// Guards against: a reader's caller expects an Error and gets JsonCpp's own
+// exception, which ends the process.
+BOOST_AUTO_TEST_CASE(readers_refuse_what_is_not_an_object_with_an_error) {
+  const std::vector<std::function<void(const Json::Value&)>> readers = {
+      [](const Json::Value& value) { RequireString(value, "a"); },
+      [](const Json::Value& value) { GetString(value, "a", ""); },
+      [](const Json::Value& value) { GetInt(value, "a", 0, 0, 1); },
+      [](const Json::Value& value) { RequireInt(value, "a", 0, 1); },
+      [](const Json::Value& value) { GetBool(value, "a", false); },
+      [](const Json::Value& value) { GetArray(value, "a"); },
+      [](const Json::Value& value) { GetObject(value, "a"); }};
+  const std::vector<Json::Value> values = {Json::Value(true), Json::Value(3),
+                                           Json::Value(0.5), Json::Value("x"),
+                                           Json::Value(Json::arrayValue)};
+  for (const auto& value : values) {
+    for (std::size_t i = 0; i < readers.size(); ++i) {
+      BOOST_TEST_CONTEXT("reader " << i << " of " << DumpJson(value)) {
+        BOOST_CHECK_THROW(readers[i](value), Error);
+      }
+    }
+    BOOST_CHECK_THROW(WorkerInfo::FromJson(value), Error);
+  }
+}
+
+// Guards against: an item of the instances' list ends the process.
+BOOST_AUTO_TEST_CASE(an_odd_item_in_the_list_of_instances_is_refused) {
+  Caller caller;
+  for (const auto& value : OddValues()) {
+    BOOST_TEST_CONTEXT(value.substr(0, 40)) {
+      caller.server_.Answer(
+          200, fmt::format(R"({{"version":1,"instances":[{}]}})", value));
+      InstanceList list(&caller.client_, caller.server_.address());
+      std::optional<bool> is_list;
+      list.Read([&](const std::vector<WorkerInfo>* workers) {
+        is_list = workers != nullptr;
+      });
+      BOOST_REQUIRE(RunUntil([&] { return is_list.has_value(); }));
+      BOOST_TEST(!*is_list);
+    }
+  }
+}
+
 // A value that cannot be read is refused, and the next text is read as usual.
 BOOST_AUTO_TEST_CASE(odd_values_in_an_entry_are_refused_or_ignored) {
   for (const auto& value : OddValues()) {
