--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -470,6 +470,31 @@
   }
 }
 
+// Guards against: a worker's answer to an order ends the process. What the
+// order did is told by the status alone.
+BOOST_AUTO_TEST_CASE(an_odd_clock_in_the_answer_to_an_order_is_none) {
+  Caller caller;
+  const auto plain = caller.Start(R"({"clock_ms":482113})");
+  BOOST_TEST((plain.status_ == fleet::WorkerStatus::kOk));
+  BOOST_TEST(plain.worker_clock_ms_ == 482113);
+  BOOST_TEST(caller.Start(R"({"clock_ms":12.5})").worker_clock_ms_ == 12);
+  for (const auto* value :
+       {"1e300", "-1e300", "9223372036854775807", "9223372036854775808",
+        "18446744073709551616", "99999999999999999999999", "-1", "true",
+        "\"7\"", "[1]", "{}", "null"}) {
+    BOOST_TEST_CONTEXT(value) {
+      const auto body = fmt::format(R"({{"clock_ms":{}}})", value);
+      const auto result = caller.Start(body);
+      BOOST_TEST((result.status_ == fleet::WorkerStatus::kOk));
+      BOOST_TEST(result.worker_clock_ms_ == 0);
+      const auto refused = caller.Start(
+          fmt::format(R"({{"clock_ms":{},"reason":"old"}})", value), 409);
+      BOOST_TEST((refused.status_ == fleet::WorkerStatus::kStaleRun));
+      BOOST_TEST(refused.worker_clock_ms_ == 0);
+    }
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
