Check the range of the numbers of runs and ends

Numbers up to the limits of 64 bits and negative ones were taken over from Hold answers. The next run follows from the highest one listed, which could overflow, and a negative run cannot be ordered. An answer with such a number is no answer, like one without a list. A percentage beyond int was cast, which is undefined; it is clamped.

--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -495,6 +495,40 @@
   }
 }
 
+// Guards against: a lease is computed from a clock or a run's number that no
+// worker has, beyond what arithmetic on it can hold.
+BOOST_AUTO_TEST_CASE(a_hold_answer_with_a_number_out_of_range_is_none) {
+  Caller caller;
+  const auto answer = [](const std::string& clock, const std::string& run,
+                         const std::string& number,
+                         const std::string& percent = "41") {
+    return fmt::format(R"({{"clock_ms":{},"born":17,)"
+                       R"("running":[["a.0.0.0",{},"c",{},0.5]],)"
+                       R"("finished":[[{},"b.0.0.0",{},"done",""]]}})",
+                       clock, run, percent, number, run);
+  };
+  BOOST_TEST((caller.Hold(answer("7", "2", "58")).status_ ==
+              fleet::WorkerStatus::kOk));
+  for (const auto* value :
+       {"1e300", "-1e300", "9223372036854775807", "99999999999999999999999",
+        "-1", "null", "{}", "\"7\""}) {
+    BOOST_TEST_CONTEXT(value) {
+      BOOST_TEST((caller.Hold(answer(value, "2", "58")).status_ ==
+                  fleet::WorkerStatus::kUnknown));
+      BOOST_TEST((caller.Hold(answer("7", value, "58")).status_ ==
+                  fleet::WorkerStatus::kUnknown));
+      BOOST_TEST((caller.Hold(answer("7", "2", value)).status_ ==
+                  fleet::WorkerStatus::kUnknown));
+    }
+  }
+  for (const auto* percent : {"1e300", "-1e300", "1000"}) {
+    const auto result = caller.Hold(answer("7", "2", "58", percent));
+    BOOST_REQUIRE((result.status_ == fleet::WorkerStatus::kOk));
+    BOOST_TEST(result.running_[0].progress_percent_ >= 0);
+    BOOST_TEST(result.running_[0].progress_percent_ <= 100);
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
