Survive advice that cannot be read

A row of [worker, ticket] with another type, or a valid_ms that is no number or that 64 bits cannot hold, made JsonCpp throw in a callback of the event loop: the process that had called the advice service ended, or the owner that had asked it to. Rows that were no lists were skipped, so that their workers counted as not allowed for their whole life.

--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -19,6 +19,8 @@
 // Timeout of an advice call through a peer, beyond its expected time: the most
 // that the extra hop adds.
 constexpr Millis kAdviceTimeoutMarginMs = 1800;
+// Upper bound on the validity of tickets.
+constexpr Millis kMaxValidMs = 1000000000000;
 
 auto ParseAnswer(const HttpResult& http) -> Json::Value {
   if (http.outcome_ != HttpOutcome::kAnswered || http.status_ != 200) {
@@ -32,6 +34,26 @@
   }
 }
 
+auto ParseAdvice(const Json::Value& answer) -> AdviceResult {
+  AdviceResult result;
+  if (!answer["tickets"].isArray()) {
+    return result;
+  }
+  try {
+    for (const auto& row : answer["tickets"]) {
+      if (!row.isArray() || !row[0].isString() || !row[1].isString()) {
+        throw Error(ErrorCode::kBadRequest, "a ticket is not listed as one");
+      }
+      result.tickets_.push_back({row[0].asString(), row[1].asString()});
+    }
+    result.valid_ms_ = GetInt(answer, "valid_ms", 0, 0, kMaxValidMs);
+    result.is_answered_ = true;
+    return result;
+  } catch (const Error&) {
+    return {};
+  }
+}
+
 // Returns true if the connection was refused, as it is if no process listens.
 auto IsRefused(const HttpResult& http) -> bool {
   return http.outcome_ == HttpOutcome::kNotSent &&
@@ -202,14 +224,7 @@
   Send(address, "/peer/advise", body,
        request.expected_ms_ + kAdviceTimeoutMarginMs,
        [callback = std::move(callback)](const HttpResult& http) {
-         const auto answer = ParseAnswer(http);
-         AdviceResult result;
-         result.is_answered_ = answer["tickets"].isArray();
-         for (const auto& row : answer["tickets"]) {
-           result.tickets_.push_back({row[0].asString(), row[1].asString()});
-         }
-         result.valid_ms_ = answer["valid_ms"].asInt64();
-         callback(result);
+         callback(ParseAdvice(ParseAnswer(http)));
        });
 }
 
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -529,6 +529,49 @@
   }
 }
 
+// Guards against: the answer of the advice service, or that of an instance that
+// called it, ends the process. An answer that cannot be read is none: a worker
+// that it leaves out would be taken for one that is not allowed.
+BOOST_AUTO_TEST_CASE(odd_advice_is_no_answer) {
+  struct Path {
+    std::string rows_;
+    std::function<fleet::AdviceResult(const std::string&)> call_;
+  };
+  Caller caller;
+  const std::vector<Path> paths = {
+      {"allowed", [&](const auto& body) { return caller.Advise(body); }},
+      {"tickets",
+       [&](const auto& body) { return caller.AdviseThroughPeer(body); }}};
+  for (const auto& path : paths) {
+    BOOST_TEST_CONTEXT(path.rows_) {
+      const auto plain = path.call_(
+          fmt::format(R"({{"{}":[["i-1","t"]],"valid_ms":2000}})", path.rows_));
+      BOOST_TEST(plain.is_answered_);
+      BOOST_TEST(plain.valid_ms_ == 2000);
+      BOOST_REQUIRE_EQUAL(plain.tickets_.size(), 1U);
+      BOOST_TEST(plain.tickets_[0].worker_id_ == "i-1");
+      BOOST_TEST(plain.tickets_[0].text_ == "t");
+      for (const auto* row : {"3", "\"x\"", "null", "[]", "[\"i-1\"]",
+                              "[{},\"t\"]", "[\"i-1\",{}]", "[[\"i-1\"],\"t\"]",
+                              "{\"i-1\":\"t\"}", "[7,\"t\"]", "true"}) {
+        const auto result = path.call_(fmt::format(
+            R"({{"{}":[["i-2","u"],{}],"valid_ms":2000}})", path.rows_, row));
+        BOOST_TEST(!result.is_answered_, "row: " << row);
+        BOOST_TEST(result.tickets_.empty(), "row: " << row);
+      }
+      for (const auto* value : {"1e300", "-1e300", "9223372036854775808", "-1",
+                                "\"x\"", "{}", "[1]"}) {
+        const auto result = path.call_(fmt::format(
+            R"({{"{}":[["i-1","t"]],"valid_ms":{}}})", path.rows_, value));
+        BOOST_TEST(!result.is_answered_, "valid_ms: " << value);
+      }
+      for (const auto* body : {"", "[]", "text", "{}"}) {
+        BOOST_TEST(!path.call_(body).is_answered_, "body: " << body);
+      }
+    }
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
