Survive an odd answer of the owner to a report

former_epoch was read without a check of its type, and JsonCpp threw in a callback of the event loop: the process ended. All members are read with checked readers now, and an answer that does not pass counts as none.

--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -34,6 +34,20 @@
   }
 }
 
+// Returns nullopt if the answer is none or cannot be read.
+auto ParseReportAnswer(const HttpResult& http) -> std::optional<ReportAnswer> {
+  const auto answer = ParseAnswer(http);
+  try {
+    return ReportAnswer{RequireInt(answer, "epoch", 0, INT64_MAX),
+                        RequireInt(answer, "stamp_ms", 0, INT64_MAX),
+                        RequireInt(answer, "store_age_ms", 0, INT64_MAX),
+                        GetInt(answer, "former_epoch", 0, 0, INT64_MAX),
+                        http.sent_ms_};
+  } catch (const Error&) {
+    return std::nullopt;
+  }
+}
+
 auto ParseAdvice(const Json::Value& answer) -> AdviceResult {
   AdviceResult result;
   if (!answer["tickets"].isArray()) {
@@ -110,12 +124,8 @@
   Send(address, "/peer/report", body, kPeerTimeoutMs,
        [on_answer = std::move(on_answer),
         on_refused = std::move(on_refused)](const HttpResult& http) {
-         const auto answer = ParseAnswer(http);
-         if (answer["store_age_ms"].isInt64() && answer["epoch"].isInt64() &&
-             answer["stamp_ms"].isInt64()) {
-           on_answer({answer["epoch"].asInt64(), answer["stamp_ms"].asInt64(),
-                      answer["store_age_ms"].asInt64(),
-                      answer["former_epoch"].asInt64(), http.sent_ms_});
+         if (const auto answer = ParseReportAnswer(http); answer.has_value()) {
+           on_answer(*answer);
          } else if (IsRefused(http)) {
            on_refused();
          }
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -572,6 +572,22 @@
   }
 }
 
+// Guards against: a peer's answer to a report ends the process.
+BOOST_AUTO_TEST_CASE(an_odd_answer_to_a_report_is_none) {
+  Caller caller;
+  const auto answer = [](const std::string& former) {
+    return fmt::format(
+        R"({{"store_age_ms":1,"epoch":2,"stamp_ms":3,"former_epoch":{}}})",
+        former);
+  };
+  BOOST_TEST(caller.Report(answer("1")));
+  BOOST_TEST(caller.Report(R"({"store_age_ms":1,"epoch":2,"stamp_ms":3})"));
+  for (const auto* value :
+       {"\"x\"", "{}", "[1]", "1e300", "-1", "9223372036854775808", "0.5"}) {
+    BOOST_TEST(!caller.Report(answer(value)), "former_epoch: " << value);
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
