--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -588,6 +589,76 @@
   }
 }
 
+// Guards against: an answer of the store without its list is taken for an empty
+// list, as if all workers had left and no job had been accepted.
+BOOST_AUTO_TEST_CASE(a_store_answer_without_its_list_is_no_answer) {
+  using fleet::StoreStatus;
+  Caller caller;
+  BOOST_TEST((caller.ReadPrefix(R"({"items":[],"at_revision":7})").status_ ==
+              StoreStatus::kOk));
+  BOOST_TEST((caller.Watch(R"({"events":[],"at_revision":7})").status_ ==
+              StoreStatus::kOk));
+  const std::string item = R"({"key":"servers/a","value":"e30=","revision":3})";
+  BOOST_TEST((caller.Read(item).status_ == StoreStatus::kOk));
+  BOOST_TEST(
+      (caller.ReadPrefix(fmt::format(R"({{"items":[{}]}})", item)).status_ ==
+       StoreStatus::kOk));
+  for (const auto* list :
+       {"", R"("x":1)", R"("items":null,"events":null)",
+        R"("items":{},"events":{})", R"("items":"x","events":"x")",
+        R"("items":[3],"events":[3])", R"("items":[{}],"events":[{}])",
+        R"("items":[null],"events":[null])",
+        R"("items":[{"key":7}],"events":[{"key":7}])",
+        R"("items":[],"truncated":true)"}) {
+    const auto body = fmt::format("{{{}}}", list);
+    BOOST_TEST((caller.ReadPrefix(body).status_ == StoreStatus::kUnknown),
+               "body: " << body);
+    BOOST_TEST((caller.Watch(body).status_ == StoreStatus::kUnknown),
+               "body: " << body);
+    BOOST_TEST((caller.Read(body).status_ == StoreStatus::kUnknown),
+               "body: " << body);
+  }
+}
+
+// A fixed seed: every mutation is repeatable. What is wrong ends the process.
+BOOST_AUTO_TEST_CASE(mutated_answers_do_not_end_the_process) {
+  Caller caller;
+  const std::vector<
+      std::pair<std::string, std::function<void(const std::string&)>>>
+      calls = {
+          {R"({"clock_ms":482113,"reason":"old"})",
+           [&](const auto& body) { caller.Start(body); }},
+          {R"({"clock_ms":1,"born":5,"running":[["a.0.0.0",2,"c",41,0.5]],)"
+           R"("finished":[[58,"b.0.0.0",1,"done",""]]})",
+           [&](const auto& body) { caller.Hold(body); }},
+          {R"({"allowed":[["i-1","t"]],"valid_ms":2000})",
+           [&](const auto& body) { caller.Advise(body); }},
+          {R"({"tickets":[["i-1","t"]],"valid_ms":2000})",
+           [&](const auto& body) { caller.AdviseThroughPeer(body); }},
+          {R"({"store_age_ms":1,"epoch":2,"stamp_ms":3,"former_epoch":1})",
+           [&](const auto& body) { caller.Report(body); }},
+          {R"({"items":[{"key":"servers/a","value":"e30=","revision":3}],)"
+           R"("at_revision":7})",
+           [&](const auto& body) { caller.ReadPrefix(body); }},
+          {R"({"events":[{"key":"op/config","revision":3,"removed":true}],)"
+           R"("at_revision":7})",
+           [&](const auto& body) { caller.Watch(body); }},
+      };
+  const auto odd = OddValues();
+  std::mt19937 random(23);
+  for (auto round = 0; round < 1500; ++round) {
+    const auto& [valid, call] = calls[random() % calls.size()];
+    // Replaces a value, or a part of one.
+    auto body = valid;
+    const auto from = body.find_first_of(":[,", random() % body.size());
+    if (from != std::string::npos) {
+      const auto to = std::min(body.size(), from + 1 + random() % 8);
+      body.replace(from + 1, to - from - 1, odd[random() % odd.size()]);
+    }
+    call(body);
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
