Survive an epoch record that cannot be read

std::stoll threw on it in a callback of the event loop, so every instance that claimed ended, one after the other and after each start. The claim is given up and repeated, with a bad_record line, until the record is mended. No other epoch can be chosen: workers refuse orders that do not carry a higher one than the last, and only the record tells it.

--- a/fleet/election.cc
+++ b/fleet/election.cc
@@ -7,7 +7,10 @@
 
 #include "fleet/election.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 #include "fleet/store_keys.h"
@@ -48,6 +51,15 @@
           record.lease_};
 }
 
+// Returns nullopt unless `text` is an epoch that another can follow.
+auto ParseEpoch(const std::string& text) -> std::optional<std::int64_t> {
+  std::int64_t epoch = 0;
+  if (!absl::SimpleAtoi(text, &epoch) || epoch < 0 || epoch == INT64_MAX) {
+    return std::nullopt;
+  }
+  return epoch;
+}
+
 }  // namespace
 
 Election::Election(uv_loop_t* loop, RecordStore* store, Options options,
@@ -327,7 +339,17 @@
     std::int64_t latest_epoch = 0;
     std::int64_t epoch_revision = 0;
     if (!epoch.records_.empty()) {
-      latest_epoch = std::stoll(epoch.records_[0].value_);
+      const auto recorded = ParseEpoch(epoch.records_[0].value_);
+      if (!recorded.has_value()) {
+        // Workers refuse the orders of an epoch that is not higher than the
+        // last one, which only the record tells.
+        LogEvent(Event::kBadRecord,
+                 {{"key", kEpochKey}, {"problem", "not an epoch"}});
+        store_->RevokeLease(answers->lease_.lease_);
+        AbandonClaim(kClaimRetryMs + ClaimDelayMs());
+        return;
+      }
+      latest_epoch = *recorded;
       epoch_revision = epoch.records_[0].revision_;
     }
     CommitClaim(answers->lease_, latest_epoch + 1, epoch_revision);
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -16,7 +16,9 @@
 #include <string>
 #include <vector>
 
+#include "fleet/election.h"
 #include "fleet/peer_client.h"
+#include "fleet/store_keys.h"
 #include "lentilscale/error.h"
 #include "lentilscale/http_client.h"
 #include "lentilscale/http_server.h"
@@ -659,6 +661,70 @@
   }
 }
 
+class ClaimingStore : public fleet::RecordStore {
+ public:
+  explicit ClaimingStore(std::string epoch) : epoch_(std::move(epoch)) {}
+
+  auto Read(const std::string& key, ReadCallback callback) -> void override {
+    fleet::ReadResult result{fleet::StoreStatus::kAbsent, {}, 9, BootMs()};
+    if (key == fleet::kEpochKey) {
+      ++epoch_reads_;
+      result.status_ = fleet::StoreStatus::kOk;
+      result.records_ = {{fleet::kEpochKey, epoch_, 8, 0}};
+    }
+    RunAfter(uv_default_loop(), 1,
+             [result, callback = std::move(callback)] { callback(result); });
+  }
+  auto ReadPrefix(const std::string&, ReadCallback) -> void override {}
+  auto Watch(const std::string&, std::int64_t, Millis, ReadCallback)
+      -> void override {}
+  auto Commit(const fleet::Transaction& transaction, CommitCallback)
+      -> void override {
+    committed_ = transaction;
+  }
+  auto GrantLease(Millis, LeaseCallback callback) -> void override {
+    RunAfter(uv_default_loop(), 1, [callback = std::move(callback)] {
+      callback({fleet::StoreStatus::kOk, 5, 1500, BootMs()});
+    });
+  }
+  auto RenewLease(std::int64_t, LeaseCallback) -> void override {}
+  auto RevokeLease(std::int64_t) -> void override {}
+
+  auto SetEpoch(const std::string& epoch) -> void { epoch_ = epoch; }
+  auto epoch_reads() const -> int { return epoch_reads_; }
+  auto committed() const -> const std::optional<fleet::Transaction>& {
+    return committed_;
+  }
+
+ private:
+  std::string epoch_;
+  int epoch_reads_ = 0;
+  std::optional<fleet::Transaction> committed_;
+};
+
+// Guards against: the record of the epoch ends every instance that claims. No
+// epoch can be chosen without it, as workers refuse a lower one.
+BOOST_AUTO_TEST_CASE(an_odd_epoch_is_not_claimed_after) {
+  SetLogLevel(LogLevel::kError);
+  for (const auto* epoch : {"", "x", "12x", "{\"epoch\":3}", "-1", "3.5",
+                            "9223372036854775807", "99999999999999999999"}) {
+    BOOST_TEST_CONTEXT(epoch) {
+      ClaimingStore store(epoch);
+      fleet::Election election(
+          uv_default_loop(), &store, {"i", "127.0.0.1:9", 1500, 0},
+          {[](const fleet::OwnerClaim&) {}, [](const std::string&) {}, [] {}});
+      BOOST_TEST(RunUntil([&] {
+        return store.epoch_reads() == 2 || store.committed().has_value();
+      }));
+      BOOST_TEST(!store.committed().has_value());
+      // The claim is repeated, so that it succeeds once the record is mended.
+      store.SetEpoch("12");
+      BOOST_TEST(RunUntil([&] { return store.committed().has_value(); }));
+      BOOST_TEST(store.committed()->puts_[0].value_ == "13");
+    }
+  }
+}
+
 // Guards against: one odd entry among those of the workers ends the owner,
 // keeps it from the others, or receives orders at a port that it didn't name.
 BOOST_AUTO_TEST_CASE(odd_entries_beside_the_workers_change_nothing) {
