Test owners on odd records in the store

Jobs, progress, cancellations, the workers' and the owner's record with other types, numbers out of range, deep nesting and unreadable bytes, at a take-over and by the watch.

--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -794,4 +794,52 @@
   fleet.CheckPromises();
 }
 
+// Guards against: a record that an owner reads at a take-over, or that the
+// watch delivers, ends it or keeps it from the jobs beside it.
+BOOST_AUTO_TEST_CASE(odd_records_in_the_store_do_not_stop_an_owner) {
+  std::vector<std::string> records = {
+      R"({"workers":{"a":3,"b":{"service":{}},"c":{"service":"s","tasks":[{}]}},)"
+      R"("queues":{"q":[3]},"sole_owner":{"epoch":1e300}})",
+      R"({"workers":{},"queues":3,"sole_owner":7})",
+      R"({"id":"00000000000000b1","queue":"q","steps":[3]})",
+      R"({"id":"00000000000000b2","queue":"q","steps":[{"count":1e300}]})",
+      R"({"id":"00000000000000b3","queue":"q","steps":[{"count":1,"after":[{}]}]})",
+      R"({"state":"queued","done":{"x":["1"]}})",
+      R"({"state":"queued","done":{"99999999999999999999":["1"]}})",
+      R"({"state":"queued","done":{"0":[{}]},"failures":{"0.0.0":[1e300]}})",
+      R"({"instance":7,"address":[],"epoch":1e300})",
+      R"({"instance":"x","address":"127.0.0.1:80000","epoch":1})"};
+  for (const auto& value : OddValues()) {
+    records.push_back(value.substr(0, 4000));
+  }
+  const auto put = [&](Fleet& fleet, int first) {
+    auto& store = fleet.platform().store();
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      const auto id =
+          fmt::format("{:016x}", static_cast<std::size_t>(first) + i);
+      store.Put(fleet::JobKey(id), records[i]);
+      store.Put(fleet::ProgressKey(id), records[i]);
+      store.Put(fleet::CancelKey(id), records[i]);
+      store.Put(fleet::CancelKey("odd" + id), records[i]);
+    }
+  };
+  for (const auto* key : {fleet::kWorkersKey, fleet::kOwnerKey}) {
+    for (const auto& record : {records[0], records[1], records[8], records[9],
+                               std::string("\xff"), Nested(1000)}) {
+      BOOST_TEST_CONTEXT(key << ": " << record.substr(0, 100)) {
+        Fleet fleet;
+        fleet.platform().AddWorker("i-0", "s", 4000, 4);
+        put(fleet, 0xb0);
+        fleet.platform().store().Put(key, record);
+        fleet.AddNode();
+        fleet.Submit(kJob, "ms=50", 2);
+        put(fleet, 0xb00);
+        BOOST_TEST(fleet.IsCompleted(kJob));
+        BOOST_TEST(fleet.platform().StartsOf(kJob) == 2);
+        fleet.CheckPromises();
+      }
+    }
+  }
+}
+
 }  // namespace lentilscale
