Let the emulator's tasks crash their workers; a task that does so runs for ever

Callers saw a job that crashes each worker that starts it take one worker after the other, and never end. Rule: such a task is started at most twice more after three workers have crashed under it.

The emulator's task text "crash=MS" ends the worker's process after that time; "only=INDEX" restricts a fault to one task of a step. The judge reports the third start after three crashes. An end that no worker could tell before it crashed does not count as noted, as with a lapsed lease.

--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -20,6 +20,10 @@
 constexpr std::size_t kPageItems = 500;
 constexpr std::size_t kPageBytes = 1 << 20;
 constexpr Millis kTicketValidMs = 2000;
+// The published rule: a task that has crashed this many workers must not be
+// started that often again.
+constexpr int kMaxCrashes = 3;
+constexpr int kForbiddenStart = 3;
 
 auto Listen(uv_loop_t* loop, HttpServer::Handler handler)
     -> std::pair<std::unique_ptr<HttpServer>, std::string> {
@@ -65,6 +69,12 @@
   return task.substr(0, task.rfind('.'));
 }
 
+// Returns true if the faults in the task's text are of this task, too.
+auto IsFaulty(const std::string& spec, const std::string& task) -> bool {
+  const auto index = std::atoll(task.c_str() + task.rfind('.') + 1);
+  return Figure(spec, "only", index) == index;
+}
+
 }  // namespace
 
 EmulatedStore::EmulatedStore(uv_loop_t* loop) : loop_(loop) {
@@ -365,9 +375,37 @@
   Restart();
 }
 
-auto EmulatedWorker::Restart() -> void {
+auto EmulatedWorker::Crash() -> void {
+  for (const auto& [task, run] : running_) {
+    if (run.crash_ms_ > 0) {
+      ++platform_->crashes_[task];
+    }
+  }
   running_.clear();
+  ForgetEnds();
+  // Stands for the reset of the connections.
+  for (auto& waiting : waiting_) {
+    waiting.reply_->Send(503, "{}");
+  }
+  waiting_.clear();
+  down_until_ms_ = MonotonicMs() + down_ms_;
+  if (down_ms_ == 0) {
+    Restart();
+  }
+}
+
+// An end that nobody took note of does not count.
+auto EmulatedWorker::ForgetEnds() -> void {
+  for (const auto& end : ended_) {
+    platform_->done_.erase(end.task_);
+  }
   ended_.clear();
+}
+
+auto EmulatedWorker::Restart() -> void {
+  running_.clear();
+  ForgetEnds();
+  down_until_ms_ = 0;
   closed_runs_.clear();
   token_ = 0;
   deadline_ms_ = 0;
@@ -405,7 +443,7 @@
 
 auto EmulatedWorker::Handle(const HttpRequest& request,
                             const std::shared_ptr<HttpReply>& reply) -> void {
-  if (is_cut_) {
+  if (is_cut_ || down_until_ms_ != 0) {
     unanswered_.push_back(reply);
     return;
   }
@@ -473,7 +511,9 @@
       MonotonicMs(),
       MonotonicMs(),
       static_cast<int>(Figure(spec, "gang", 0)),
-      is_failing_ || platform_->failures_[task] < Figure(spec, "fail", 0)};
+      is_failing_ || (IsFaulty(spec, task) &&
+                      platform_->failures_[task] < Figure(spec, "fail", 0)),
+      IsFaulty(spec, task) ? Figure(spec, "crash", 0) : 0};
   if (started.gang_ > 0) {
     started.begun_ms_ = 0;
   }
@@ -568,6 +608,19 @@
 }
 
 auto EmulatedWorker::Tick(Millis now_ms) -> void {
+  if (down_until_ms_ != 0) {
+    if (now_ms < down_until_ms_) {
+      return;
+    }
+    Restart();
+  }
+  if (std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+        const auto& run = entry.second;
+        return run.crash_ms_ > 0 && now_ms >= run.arrived_ms_ + run.crash_ms_;
+      })) {
+    Crash();
+    return;
+  }
   std::vector<std::pair<std::string, std::string>> ends;
   for (auto& [task, run] : running_) {
     if (run.gang_ > 0 && run.begun_ms_ == 0) {
@@ -644,6 +697,29 @@
   return it == starts_by_job_.end() ? 0 : it->second;
 }
 
+auto PlatformEmulator::StartsOfTask(const std::string& task) const -> int {
+  const auto it = starts_by_task_.find(task);
+  return it == starts_by_task_.end() ? 0 : it->second;
+}
+
+auto PlatformEmulator::CrashesOf(const std::string& job) const -> int {
+  auto count = 0;
+  for (const auto& [task, crashes] : crashes_) {
+    count += JobOf(task) == job ? crashes : 0;
+  }
+  return count;
+}
+
+auto PlatformEmulator::JudgeCrashes(const std::string& task) -> void {
+  const auto it = crashes_.find(task);
+  if (it != crashes_.end() && it->second >= kMaxCrashes &&
+      ++starts_after_crashes_[task] == kForbiddenStart) {
+    violations_.push_back(
+        fmt::format("{} is started {} times after it has crashed {} workers",
+                    task, kForbiddenStart, kMaxCrashes));
+  }
+}
+
 auto PlatformEmulator::RunningOf(const std::string& job) const -> int {
   auto count = 0;
   for (const auto& [id, worker] : workers_) {
@@ -676,6 +752,8 @@
                                   const std::string& task) -> void {
   ++starts_;
   ++starts_by_job_[JobOf(task)];
+  ++starts_by_task_[task];
+  JudgeCrashes(task);
   const auto demand = demands_[JobOf(task)];
   auto cpu = demand.first;
   auto accelerators = demand.second;
@@ -700,9 +778,18 @@
 
 auto PlatformEmulator::Tick() -> void {
   const auto now = MonotonicMs();
+  auto suspect_workers = 0;
   for (auto& [id, worker] : workers_) {
+    suspect_workers +=
+        std::any_of(worker->running_.begin(), worker->running_.end(),
+                    [this](const auto& entry) {
+                      return crashes_.contains(entry.first);
+                    })
+            ? 1
+            : 0;
     worker->Tick(now);
   }
+  max_suspect_workers_ = std::max(max_suspect_workers_, suspect_workers);
 }
 
 }  // namespace lentilscale::testing
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -7,6 +7,8 @@
 //   "ms=50 fail=2"      fails its first two runs
 //   "ms=0"              runs until it is stopped
 //   "ms=100 gang=3"     works once three members of its run are there
+//   "ms=200 crash=50"   crashes its worker after 50 ms
+//   "only=2"            with fail or crash, means the tasks of index 2 alone
 //
 // What the workers see is judged here, independently of what the product
 // claims; violations() lists each broken promise as a sentence.
@@ -157,6 +159,10 @@
 
   // Ends all that runs and forgets everything; answers again as a new life.
   auto Restart() -> void;
+  // Ends as by a crash of its process: calls that wait fail.
+  auto Crash() -> void;
+  // A worker that has crashed answers nothing for `down_ms` and then restarts.
+  auto SetCrashDownTime(Millis down_ms) -> void { down_ms_ = down_ms; }
   // Answers nothing and writes no entry, but runs on.
   auto SetCut(bool is_cut) -> void { is_cut_ = is_cut; }
   auto SetDraining() -> void { is_draining_ = true; }
@@ -185,6 +191,8 @@
     Millis arrived_ms_;
     int gang_;
     bool fails_;
+    // Time from the start until the run crashes its worker; 0 if it does not.
+    Millis crash_ms_;
   };
   struct End {
     std::int64_t number_;
@@ -201,6 +209,7 @@
                   const std::shared_ptr<HttpReply>& reply) -> void;
   auto Lists(std::int64_t last_seen) const -> Json::Value;
   auto EndRun(const std::string& task, const std::string& how) -> void;
+  auto ForgetEnds() -> void;
   auto Tick(Millis now_ms) -> void;
   auto ClockMs() const -> Millis;
   auto WriteEntry() -> void;
@@ -216,6 +225,9 @@
   bool is_cut_ = false;
   bool is_draining_ = false;
   bool is_failing_ = false;
+  Millis down_ms_ = 0;
+  // Until when the worker is down after a crash; 0 if it is not.
+  Millis down_until_ms_ = 0;
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
@@ -266,6 +278,12 @@
   }
   auto starts() const -> int { return starts_; }
   auto StartsOf(const std::string& job) const -> int;
+  auto StartsOfTask(const std::string& task) const -> int;
+  // Returns how many workers the job's tasks have crashed.
+  auto CrashesOf(const std::string& job) const -> int;
+  // Returns the highest number of workers that ran, at the same time, tasks
+  // that had crashed a worker before.
+  auto max_suspect_workers() const -> int { return max_suspect_workers_; }
   // Returns the number of the job's runs that are going on now.
   auto RunningOf(const std::string& job) const -> int;
 
@@ -274,6 +292,8 @@
   auto HandleAdvice(const HttpRequest& request,
                     const std::shared_ptr<HttpReply>& reply) -> void;
   auto JudgeStart(EmulatedWorker& worker, const std::string& task) -> void;
+  // Judges a start of a task that has crashed workers.
+  auto JudgeCrashes(const std::string& task) -> void;
   auto Tick() -> void;
 
   uv_loop_t* loop_;
@@ -284,6 +304,11 @@
   std::set<std::string> allowed_;
   std::set<std::string> done_;
   std::map<std::string, int> failures_;
+  std::map<std::string, int> crashes_;
+  // Starts of a task after it has crashed kMaxCrashes workers.
+  std::map<std::string, int> starts_after_crashes_;
+  std::map<std::string, int> starts_by_task_;
+  int max_suspect_workers_ = 0;
   std::map<std::string, int> starts_by_job_;
   std::vector<std::string> violations_;
   int starts_ = 0;
