Give up a task under which workers keep crashing

Callers saw: a job with a task that crashes each worker that starts it took one worker after the other, with all that ran there, and never ended.

Cause: a run that is lost with its worker was only requeued; nothing told a crash from a cut link, and nothing counted it.

Change: - CrashDetector: a life of a worker has ended in a crash once another life answers at its address, under its id or under another, and it was not draining. What lapsed there before is remembered until then. An entry in the store or an answer of a wrong worker alone proves nothing: an entry may have been overwritten while the worker runs on. - A crash counts for each task or gang that was there, by the number of the run, so that a repeated report counts once. It counts as one alone if nothing else was there and the start had been answered; a start without an answer may have crashed its worker, but need not have arrived. - A job fails at three crashes under a task, or two alone; also if it lasts. - Suspects do not share a worker, get an empty one where there is one, and from the second crash on wait for one. At most a quarter of a service's workers run them at a time. - The counts, and the next run of a suspect with its worker's life, are durable in the progress record before the run is ordered, so that a new owner that finds another life counts the crash. Earlier records are read as before. - Events 6208 and 6310, counters workers_crashed and tasks_given_up.

Why it works: a task that crashes its workers collects a count with each one and ends at the third; a neighbour runs apart from all suspects after its first, and a crash under a suspect that is alone is not counted for any other.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -110,6 +110,9 @@
     job->end_recorded_ms_ = BootMs();
   }
   auto& inserted = jobs_[record.id_] = std::move(job);
+  if (!inserted->IsEnded()) {
+    AddRecoveredSuspects(*inserted);
+  }
   FindQueuePolicy(record.queue_);
   LogEvent(Event::kFleetJobTaken,
            {{"job", record.id_},
@@ -403,6 +406,7 @@
   CheckQueueServicesKnown();
   CreateDueOccurrences();
   CheckWorkers(now);
+  CheckSuspects(now);
   CheckUnmatchedJobs(now);
   OnPreviousRightsEnded(now);
   if (now >= next_worker_read_ms_ && !is_reading_workers_) {
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -13,6 +13,7 @@
 //   dispatcher_recovery.cc   state that a new owner reads from the store
 //   dispatcher_workers.cc    worker membership and health
 //   dispatcher_sessions.cc   worker sessions: leases, ended runs, stops
+//   dispatcher_crashes.cc    crashes of workers and the tasks suspected of them
 //   dispatcher_queues.cc     services whose workers may run a queue's tasks
 //   dispatcher_placement.cc  placement of tasks on workers
 //   dispatcher_advice.cc     calls to the advice service and their tickets
@@ -36,6 +37,7 @@
 #include <vector>
 
 #include "fleet/advice_balancer.h"
+#include "fleet/crash_detector.h"
 #include "fleet/fleet_config.h"
 #include "fleet/fleet_metrics.h"
 #include "fleet/fleet_worker.h"
@@ -356,6 +358,54 @@
   // Ends the wait for unclaimed workers whose leases have expired.
   auto ForgetExpiredUnclaimedWorkers(Millis now_ms) -> void;
 
+  // dispatcher_crashes.cc
+  // A start of a suspect task or gang that is being recorded, and the workers
+  // that are kept for it.
+  struct SuspectStart {
+    // The task, or the first member of the gang.
+    TaskId task_;
+    std::int64_t run_ = 0;
+    std::vector<WorkerLife> workers_;
+    // First version of the progress record that has it.
+    std::uint64_t record_version_ = 0;
+    Millis assigned_ms_ = 0;
+  };
+  // Remembers the runs for the case that the worker turns out to have crashed.
+  auto AddCrashSuspects(const FleetWorker& worker,
+                        const std::vector<PlacedRun>& lost) -> void;
+  // Does so for the runs that an earlier owner has ordered for suspects.
+  auto AddRecoveredSuspects(Job& job) -> void;
+  // Returns the crashes that the worker's answer proves.
+  auto DetectCrashes(FleetWorker& worker, std::int64_t former_incarnation,
+                     const HoldResult& result) -> std::vector<Crash>;
+  // Counts the crash for each task that it took, and gives up those that have
+  // reached their limit.
+  auto CountCrash(const Crash& crash) -> void;
+  // Returns the name of the task or, if it is a gang's, of its step.
+  auto SuspectName(const TaskId& id) -> std::string;
+  auto IsSuspect(const StepRun& step, int index) const -> bool;
+  // Marks the worker's runs of suspects that an earlier owner has started.
+  auto MarkAdoptedSuspects(FleetWorker& worker) -> void;
+  // Ends the suspicion of runs that have lasted long enough.
+  auto CheckSuspects(Millis now_ms) -> void;
+  auto ReleaseSuspectStart(const std::string& name) -> void;
+  // Releases the starts of tasks that have ended or run again, and those that
+  // something has kept back for long.
+  auto ReleaseUnneededSuspectStarts(Millis now_ms) -> void;
+  auto IsSuspectStartPossible(const SuspectStart& start, const StepRun& step,
+                              const Queue& queue, Millis now_ms) const -> bool;
+  // Returns the best worker on which no other suspect runs; one in `chosen` has
+  // another member of the same gang.
+  auto FindSuspectWorker(const StepRun& step, const Queue& queue,
+                         const Task& task, const std::set<std::string>& chosen,
+                         Millis now_ms) -> FleetWorker*;
+  // Chooses workers for `count` tasks from `first` on and records the start.
+  auto AssignSuspect(StepRun& step, int first, int count, const Queue& queue,
+                     Millis now_ms) -> void;
+  // Places a suspect task, or a whole gang. Returns true if it was started.
+  auto PlaceSuspect(StepRun& step, int first, int count, const Queue& queue,
+                    Millis now_ms) -> bool;
+
   // dispatcher_queues.cc
   // Reads the pairs of queue and service from the previous owner's record.
   auto ReadQueueServices(const ReadResult& workers_record) -> void;
@@ -398,6 +448,9 @@
   auto PlaceStep(StepRun& step, const Queue& queue, Millis now_ms) -> bool;
   // Starts all tasks of a gang or none; returns true if they were started.
   auto PlaceGang(StepRun& step, const Queue& queue, Millis now_ms) -> bool;
+  // Returns true if the worker may run the step, whether it has room or not.
+  auto MayRunOn(const FleetWorker& worker, const StepRun& step,
+                const Queue& queue, Millis now_ms) const -> bool;
   auto IsEligible(const FleetWorker& worker, const StepRun& step,
                   const Queue& queue, Millis now_ms) const -> bool;
   auto HasValidTicket(const FleetWorker& worker, const StepRun& step,
@@ -491,6 +544,8 @@
     Resources used_;
     // Workers that the current pass has made exclusive to large tasks.
     std::size_t exclusive_workers_ = 0;
+    // Workers that run a suspect or are kept for one.
+    std::size_t suspect_workers_ = 0;
   };
   std::map<std::string, ServiceSummary> services_;
   // Duration of the last placement pass.
@@ -520,6 +575,9 @@
   // When each worker's runs were last taken for lapsed, for log lines only;
   // entries are dropped after kLapseMemoryMs.
   std::map<std::string, Millis> lapsed_ms_;
+  CrashDetector crash_detector_;
+  // By name of the task or gang.
+  std::map<std::string, SuspectStart> suspect_starts_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
   // Until when earlier owners may go on.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -117,6 +117,7 @@
     return;
   }
   const auto start_ns = uv_hrtime();
+  ReleaseUnneededSuspectStarts(now);
   SummarizeServices(now);
   for (const auto& waiting : OrderWaitingSteps()) {
     auto& step = *waiting.step_;
@@ -162,6 +163,8 @@
     ++service.worker_count_;
     service.capacity_ += capacity;
     service.used_ += worker.used_;
+    service.suspect_workers_ +=
+        worker.suspect_runs_ > 0 || worker.IsKeptForSuspect() ? 1 : 0;
     ForEachResource(service.min_capacity_, capacity,
                     [](std::int64_t& smallest, std::int64_t amount) {
                       if (amount > 0 && (smallest == 0 || amount < smallest)) {
@@ -208,13 +211,19 @@
 
 auto Dispatcher::IsEligible(const FleetWorker& worker, const StepRun& step,
                             const Queue& queue, Millis now_ms) const -> bool {
+  return !worker.IsKeptForSuspect() &&
+         CapacityDemand(*step.step_)
+             .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
+                                            step.ignores_exclusivity_)) &&
+         MayRunOn(worker, step, queue, now_ms);
+}
+
+auto Dispatcher::MayRunOn(const FleetWorker& worker, const StepRun& step,
+                          const Queue& queue, Millis now_ms) const -> bool {
   const auto& requirements = *step.step_;
   if (worker.entry_.service_ != queue.service_ ||
       !worker.IsUsable(now_ms, requirements.is_long_running_) ||
-      !worker.HasLabel(requirements.required_label_) ||
-      !CapacityDemand(requirements)
-           .FitsIn(worker.FreeCapacityFor(step.name_, queue.priority_,
-                                          step.ignores_exclusivity_))) {
+      !worker.HasLabel(requirements.required_label_)) {
     return false;
   }
   if (requirements.max_per_worker_ > 0) {
@@ -322,6 +331,7 @@
   auto unplaced = 0;
   auto unrecorded = 0;
   auto maybe_running = 0;
+  auto suspects = 0;
   for (std::size_t i = 0; i < step.tasks_.size(); ++i) {
     auto& task = step.tasks_[i];
     if (task.phase_ != Task::Phase::kWaiting) {
@@ -341,6 +351,10 @@
       ++unrecorded;
       continue;
     }
+    if (const auto index = static_cast<int>(i); IsSuspect(step, index)) {
+      suspects += PlaceSuspect(step, index, 1, queue, now_ms) ? 0 : 1;
+      continue;
+    }
     auto* worker = unplaced > 0 && task.failed_on_.empty()
                        ? nullptr
                        : FindBestWorker(step, queue, task.failed_on_, now_ms);
@@ -361,7 +375,8 @@
   if (maybe_running > 0) {
     AddAdviceForTakeOver(step, queue, maybe_running, now_ms);
   }
-  return unplaced == 0 && unrecorded == 0 && maybe_running == 0;
+  return unplaced == 0 && unrecorded == 0 && maybe_running == 0 &&
+         suspects == 0;
 }
 
 auto Dispatcher::PlaceGang(StepRun& step, const Queue& queue, Millis now_ms)
@@ -387,6 +402,10 @@
   if (!IsWithinTeamLimit(step.job_->record().team_, total)) {
     return false;
   }
+  if (IsSuspect(step, 0)) {
+    return IsQueueServiceRecorded(queue) &&
+           PlaceSuspect(step, 0, count, queue, now_ms);
+  }
   // Place the members tentatively, one by one, and restore all sums afterwards.
   const auto demand = CapacityDemand(*step.step_);
   std::vector<FleetWorker*> chosen;
@@ -451,7 +470,7 @@
   // Tasks that the workers will have room for; counted up to `tasks`.
   auto future_tasks = 0;
   for (auto* worker : service.usable_workers_) {
-    if (!worker->exclusive_for_.empty() ||
+    if (!worker->exclusive_for_.empty() || worker->IsKeptForSuspect() ||
         !worker->IsUsable(now_ms, step.step_->is_long_running_) ||
         !worker->HasLabel(step.step_->required_label_) ||
         (queue.advice_.has_value() &&
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -140,6 +140,7 @@
     }
     return;
   }
+  const auto former_incarnation = worker.incarnation_;
   if (result.incarnation_ != worker.incarnation_) {
     if (worker.incarnation_ != 0) {
       LogEvent(Event::kFleetWorkerReborn,
@@ -173,6 +174,7 @@
   for (const auto& running : result.running_) {
     HandleRunningTask(worker, running, now);
   }
+  const auto crashes = DetectCrashes(worker, former_incarnation, result);
   worker.is_claimed_ = true;
   if (const auto unclaimed = unclaimed_workers_.find(id);
       unclaimed != unclaimed_workers_.end()) {
@@ -188,6 +190,12 @@
                 {"age_ms", std::to_string(now - claim_.claimed_ms_)}});
     }
   }
+  for (const auto& crash : crashes) {
+    CountCrash(crash);
+  }
+  if (former_incarnation != worker.incarnation_) {
+    MarkAdoptedSuspects(worker);
+  }
   ThrottleFillingTasks(worker, result, now);
   // The worker repeats ends until they are acknowledged, so the next Hold call
   // is delayed while ends are not durable.
@@ -258,6 +266,7 @@
   const auto is_current =
       task.phase_ == Task::Phase::kPlaced && task.run_ == end.run_.run_;
   task.highest_run_ = std::max(task.highest_run_, end.run_.run_);
+  job.ClearOrderedRun(step, id.index_, end.run_.run_);
   if (task.phase_ == Task::Phase::kDone) {
     return;
   }
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -90,6 +90,10 @@
 auto Dispatcher::HandleWorkerEntry(const WorkerEntry& entry,
                                    std::int64_t revision, Millis now_ms)
     -> void {
+  if (entry.is_draining_) {
+    crash_detector_.OnDraining({entry.id_, entry.incarnation_, entry.address_},
+                               now_ms);
+  }
   const auto it = workers_.find(entry.id_);
   if (it == workers_.end()) {
     auto& worker = workers_[entry.id_];
@@ -176,6 +180,9 @@
             {"reason", RunLossName(loss)},
             {"lapse_in_ms", std::to_string(worker.LatestLeaseExpiryMs() - now)},
             {"hold_failures", std::to_string(worker.hold_failures_)}});
+  if (loss == RunLoss::kLapsed) {
+    AddCrashSuspects(worker, lost);
+  }
   for (const auto& run : lost) {
     OnRunLost(worker, run, loss);
   }
--- a/fleet/fleet_metrics.h
+++ b/fleet/fleet_metrics.h
@@ -32,6 +32,8 @@
   kTakeOvers,
   kWorkersSilent,
   kStallsReported,
+  kWorkersCrashed,
+  kTasksGivenUp,
   kCount,
 };
 
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -118,9 +118,25 @@
   filling_runs_ -= it->second.fills_ ? 1 : 0;
   serving_runs_ -= it->second.tail_target_ms_ > 0 ? 1 : 0;
   unknown_demand_runs_ -= it->second.is_demand_known_ ? 0 : 1;
+  ClearSuspect(it->second);
   runs_.erase(it);
 }
 
+auto FleetWorker::MarkSuspect(PlacedRun& run, bool is_alone) -> void {
+  ClearSuspect(run);
+  run.is_suspect_ = true;
+  run.is_alone_ = is_alone;
+  ++suspect_runs_;
+  lone_runs_ += is_alone ? 1 : 0;
+}
+
+auto FleetWorker::ClearSuspect(PlacedRun& run) -> void {
+  suspect_runs_ -= run.is_suspect_ ? 1 : 0;
+  lone_runs_ -= run.is_alone_ ? 1 : 0;
+  run.is_suspect_ = false;
+  run.is_alone_ = false;
+}
+
 auto FleetWorker::Find(const std::string& task, std::int64_t run)
     -> PlacedRun* {
   const auto it = runs_.find({task, run});
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -90,6 +90,10 @@
   // Limit on the run's processor time that was last sent to the worker.
   int cpu_share_percent_ = 100;
   Millis next_throttle_ms_ = 0;
+  // True if a worker has crashed under an earlier run of the task, and if this
+  // run was started on an empty worker, which is kept for it.
+  bool is_suspect_ = false;
+  bool is_alone_ = false;
 
   // Returns the estimated time until the run ends; kNeverMs for a long-running
   // task.
@@ -191,6 +195,11 @@
   int serving_runs_ = 0;
   // Runs that take an unknown amount of the capacity.
   int unknown_demand_runs_ = 0;
+  int suspect_runs_ = 0;
+  int lone_runs_ = 0;
+  // The suspect task or gang that is about to be started here; empty if there
+  // is none.
+  std::string reserved_for_suspect_;
 
   // Returns the expiry of a lease of at most `lease_ms` from now, on the
   // worker's clock, and extends LatestLeaseExpiryMs to cover it.
@@ -219,6 +228,13 @@
   auto Add(const PlacedRun& run) -> PlacedRun&;
   auto Remove(const std::string& task, std::int64_t run) -> void;
   auto Find(const std::string& task, std::int64_t run) -> PlacedRun*;
+  // Marks one of the worker's runs as suspect.
+  auto MarkSuspect(PlacedRun& run, bool is_alone) -> void;
+  auto ClearSuspect(PlacedRun& run) -> void;
+  // Returns true if no other runs may be started beside a suspect.
+  auto IsKeptForSuspect() const -> bool {
+    return lone_runs_ > 0 || !reserved_for_suspect_.empty();
+  }
 
   // Counts a failed run of `job`; returns true if that quarantines the worker.
   // Each quarantine lasts twice as long as the one before. During a quarantine
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -269,6 +269,7 @@
     task.checkpoint_.clear();
     ++step.done_count_;
   }
+  ForgetCrashes(step, index);
   const auto occurrence = step.occurrence_;
   if (!step.IsDone()) {
     return {};
@@ -292,9 +293,11 @@
       open_occurrences_.empty() ? next_occurrence_ : *open_occurrences_.begin();
   for (; progress_.occurrences_done_ < done; ++progress_.occurrences_done_) {
     const auto prefix = fmt::format("{}.", progress_.occurrences_done_);
-    std::erase_if(progress_.failures_, [&](const auto& entry) {
+    const auto is_of_occurrence = [&](const auto& entry) {
       return entry.first.starts_with(prefix);
-    });
+    };
+    std::erase_if(progress_.failures_, is_of_occurrence);
+    std::erase_if(progress_.crashes_, is_of_occurrence);
   }
   const auto total = std::max<std::int64_t>(record_.repeat_count_, 1);
   if (progress_.occurrences_done_ >= total && !IsEnded()) {
@@ -302,13 +305,16 @@
   }
 }
 
+auto Job::CounterName(const StepRun& step, int index) -> std::string {
+  return step.step_->is_gang_
+             ? fmt::format("{}.{}", step.occurrence_, step.step_number_)
+             : fmt::format("{}.{}.{}", step.occurrence_, step.step_number_,
+                           index);
+}
+
 auto Job::MarkFailed(StepRun& step, int index, std::int64_t run,
                      int max_attempts) -> void {
-  const auto name =
-      step.step_->is_gang_
-          ? fmt::format("{}.{}", step.occurrence_, step.step_number_)
-          : fmt::format("{}.{}.{}", step.occurrence_, step.step_number_, index);
-  auto& runs = progress_.failures_[name];
+  auto& runs = progress_.failures_[CounterName(step, index)];
   runs.insert(run);
   if (!step.step_->is_long_running_ && !IsEnded() &&
       static_cast<int>(runs.size()) >= max_attempts) {
@@ -316,6 +322,51 @@
   }
 }
 
+auto Job::MarkCrashed(StepRun& step, int index, std::int64_t run, bool is_alone)
+    -> bool {
+  auto& crashes = progress_.crashes_[CounterName(step, index)];
+  if (!crashes.runs_.insert(run).second) {
+    return false;
+  }
+  if (is_alone) {
+    crashes.lone_runs_.insert(run);
+  }
+  if (!IsEnded() && (crashes.runs_.size() >= kMaxCrashes ||
+                     crashes.lone_runs_.size() >= kMaxLoneCrashes)) {
+    progress_.state_ = JobState::kFailed;
+  }
+  return true;
+}
+
+auto Job::FindCrashes(const StepRun& step, int index) const
+    -> const CrashRecord* {
+  if (progress_.crashes_.empty()) {
+    return nullptr;
+  }
+  const auto it = progress_.crashes_.find(CounterName(step, index));
+  return it == progress_.crashes_.end() ? nullptr : &it->second;
+}
+
+auto Job::SetOrderedRun(const StepRun& step, int index, std::int64_t run,
+                        std::vector<WorkerLife> workers) -> void {
+  auto& crashes = progress_.crashes_[CounterName(step, index)];
+  crashes.ordered_run_ = run;
+  crashes.ordered_on_ = std::move(workers);
+}
+
+auto Job::ClearOrderedRun(const StepRun& step, int index, std::int64_t run)
+    -> void {
+  const auto it = progress_.crashes_.find(CounterName(step, index));
+  if (it != progress_.crashes_.end() && it->second.ordered_run_ == run) {
+    it->second.ordered_run_ = 0;
+    it->second.ordered_on_.clear();
+  }
+}
+
+auto Job::ForgetCrashes(const StepRun& step, int index) -> void {
+  progress_.crashes_.erase(CounterName(step, index));
+}
+
 auto Job::Cancel() -> void {
   if (!IsEnded()) {
     progress_.state_ = JobState::kCancelled;
@@ -350,6 +401,7 @@
   out.checkpoints_.clear();
   if (IsEnded()) {
     out.failures_.clear();
+    out.crashes_.clear();
     return out;
   }
   for (const auto& [number, steps] : occurrences_) {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -30,6 +30,11 @@
 // job cannot exhaust it. Further ones are created as these end.
 inline constexpr std::size_t kMaxOpenOccurrences = 1000;
 
+// A task or gang is given up at this number of crashes of workers under it, or
+// at the lower one of crashes of workers on which it ran alone.
+inline constexpr std::size_t kMaxCrashes = 3;
+inline constexpr std::size_t kMaxLoneCrashes = 2;
+
 class Job;
 
 // Identifies a task by its job, occurrence, step and index.
@@ -187,6 +192,23 @@
   // the step is long-running.
   auto MarkFailed(StepRun& step, int index, std::int64_t run, int max_attempts)
       -> void;
+  // Counts a crash of a worker under a run of a task or of its gang; `is_alone`
+  // if nothing else ran there. The job fails at the limits above. Returns false
+  // if the run was counted before.
+  auto MarkCrashed(StepRun& step, int index, std::int64_t run, bool is_alone)
+      -> bool;
+  // Returns the crashes under the task or its gang; nullptr if there are none.
+  auto FindCrashes(const StepRun& step, int index) const -> const CrashRecord*;
+  // Notes the next run of a task or gang under which a worker has crashed.
+  auto SetOrderedRun(const StepRun& step, int index, std::int64_t run,
+                     std::vector<WorkerLife> workers) -> void;
+  // Drops the note once the run has ended.
+  auto ClearOrderedRun(const StepRun& step, int index, std::int64_t run)
+      -> void;
+  auto ForgetCrashes(const StepRun& step, int index) -> void;
+  auto crashes() const -> const std::map<std::string, CrashRecord>& {
+    return progress_.crashes_;
+  }
   auto Cancel() -> void;
   // Makes a placed task wait for placement again.
   auto MarkWaiting(StepRun& step, int index, Millis now_ms) -> void;
@@ -214,6 +236,9 @@
   // Removes the occurrence from the open ones if all its steps are done.
   auto CloseIfDone(std::int64_t occurrence) -> void;
   auto UpdateCompletion() -> void;
+  // Returns the name under which failures and crashes of the task are counted:
+  // "OCCURRENCE.STEP.INDEX", or "OCCURRENCE.STEP" if the step is a gang.
+  static auto CounterName(const StepRun& step, int index) -> std::string;
 
   // Returns the estimated time from the step's start to the job's end if no
   // task waits for placement, with one advice call for each step.
--- a/fleet/job_record.cc
+++ b/fleet/job_record.cc
@@ -81,6 +81,53 @@
   return step;
 }
 
+auto RunsToJson(const std::set<std::int64_t>& runs) -> Json::Value {
+  Json::Value out(Json::arrayValue);
+  for (const auto run : runs) {
+    out.append(Json::Int64{run});
+  }
+  return out;
+}
+
+auto RunsFromJson(const Json::Value& list) -> std::set<std::int64_t> {
+  std::set<std::int64_t> runs;
+  for (const auto& run : list) {
+    runs.insert(run.asInt64());
+  }
+  return runs;
+}
+
+auto CrashesToJson(const CrashRecord& crashes) -> Json::Value {
+  Json::Value out(Json::objectValue);
+  out["runs"] = RunsToJson(crashes.runs_);
+  if (!crashes.lone_runs_.empty()) {
+    out["alone"] = RunsToJson(crashes.lone_runs_);
+  }
+  SetUnlessDefault(out, "ordered", Json::Int64{crashes.ordered_run_},
+                   Json::Int64{0});
+  for (const auto& life : crashes.ordered_on_) {
+    Json::Value row(Json::objectValue);
+    row["worker"] = life.worker_;
+    row["born"] = Json::Int64{life.incarnation_};
+    row["address"] = life.address_;
+    out["ordered_on"].append(row);
+  }
+  return out;
+}
+
+auto CrashesFromJson(const Json::Value& object) -> CrashRecord {
+  CrashRecord crashes;
+  crashes.runs_ = RunsFromJson(GetArray(object, "runs"));
+  crashes.lone_runs_ = RunsFromJson(GetArray(object, "alone"));
+  crashes.ordered_run_ = GetInt(object, "ordered", 0, 0, INT64_MAX);
+  for (const auto& row : GetArray(object, "ordered_on")) {
+    crashes.ordered_on_.push_back({RequireString(row, "worker"),
+                                   RequireInt(row, "born", 0, INT64_MAX),
+                                   GetString(row, "address", "")});
+  }
+  return crashes;
+}
+
 }  // namespace
 
 auto JobStateName(JobState state) -> const char* {
@@ -173,6 +220,9 @@
       out["failures"][task].append(Json::Int64{run});
     }
   }
+  for (const auto& [task, crashes] : progress.crashes_) {
+    out["crashes"][task] = CrashesToJson(crashes);
+  }
   for (const auto& [task, checkpoint] : progress.checkpoints_) {
     out["checkpoints"][task] = checkpoint;
   }
@@ -209,6 +259,10 @@
         progress.failures_[task].insert(run.asInt64());
       }
     }
+    const auto crashes = GetObject(object, "crashes");
+    for (const auto& task : crashes.getMemberNames()) {
+      progress.crashes_[task] = CrashesFromJson(crashes[task]);
+    }
     const auto checkpoints = GetObject(object, "checkpoints");
     for (const auto& task : checkpoints.getMemberNames()) {
       progress.checkpoints_[task] = checkpoints[task].asString();
--- a/fleet/job_record.h
+++ b/fleet/job_record.h
@@ -84,6 +84,26 @@
 // Returns the name of `state` in records and logs.
 auto JobStateName(JobState state) -> const char*;
 
+// One life of a worker: from a start of its process to the end.
+struct WorkerLife {
+  std::string worker_;
+  std::int64_t incarnation_ = 0;
+  std::string address_;
+};
+
+// The crashes of workers under one task or gang.
+struct CrashRecord {
+  // Numbers of the runs under which a worker crashed, and of those that were
+  // alone on it.
+  std::set<std::int64_t> runs_;
+  std::set<std::int64_t> lone_runs_;
+  // The run that was ordered last, and its workers by index of the gang's
+  // member; 0 and empty once it has ended. Stored before the order is sent, so
+  // that a new owner can tell whether the run has crashed a worker.
+  std::int64_t ordered_run_ = 0;
+  std::vector<WorkerLife> ordered_on_;
+};
+
 // Stored progress of a job.
 struct ProgressRecord {
   JobState state_ = JobState::kQueued;
@@ -93,6 +113,8 @@
   // Numbers of the failed runs, by task ("OCCURRENCE.STEP.INDEX") or gang
   // ("OCCURRENCE.STEP"), of occurrences that are not done.
   std::map<std::string, std::set<std::int64_t>> failures_;
+  // By task or gang, as failures_.
+  std::map<std::string, CrashRecord> crashes_;
   // Latest checkpoints of unfinished tasks, by "OCCURRENCE.STEP.INDEX".
   std::map<std::string, std::string> checkpoints_;
   // Occurrences below this number are done and not listed in done_.
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -79,6 +79,7 @@
     {Event::kFleetRunFound, "fleet_run_found", LogLevel::kInfo},
     {Event::kFleetRunGone, "fleet_run_gone", LogLevel::kWarning},
     {Event::kFleetEndSuperseded, "fleet_end_superseded", LogLevel::kWarning},
+    {Event::kFleetTaskGivenUp, "fleet_task_given_up", LogLevel::kWarning},
     {Event::kFleetWorkerListed, "fleet_worker_listed", LogLevel::kInfo},
     {Event::kFleetWorkerUnlisted, "fleet_worker_unlisted", LogLevel::kInfo},
     {Event::kFleetWorkerDraining, "fleet_worker_draining", LogLevel::kInfo},
@@ -90,6 +91,7 @@
     {Event::kFleetWorkerRemoved, "fleet_worker_removed", LogLevel::kInfo},
     {Event::kFleetWorkerClockRestarted, "fleet_worker_clock_restarted",
      LogLevel::kWarning},
+    {Event::kFleetWorkerCrashed, "fleet_worker_crashed", LogLevel::kWarning},
 });
 
 constexpr auto kLevelNames =
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -85,6 +85,7 @@
   kFleetRunFound = 6205,
   kFleetRunGone = 6206,
   kFleetEndSuperseded = 6207,
+  kFleetTaskGivenUp = 6208,
   kFleetWorkerListed = 6301,
   kFleetWorkerUnlisted = 6302,
   kFleetWorkerDraining = 6303,
@@ -94,6 +95,7 @@
   kFleetWorkerQuarantined = 6307,
   kFleetWorkerRemoved = 6308,
   kFleetWorkerClockRestarted = 6309,
+  kFleetWorkerCrashed = 6310,
 };
 
 // The catalogue's entry for an event.
