--- a/fleet/dispatcher_crashes.cc
+++ b/fleet/dispatcher_crashes.cc
@@ -11,6 +11,8 @@
 // kept for it; once that is durable, the run is ordered. A new owner that finds
 // the workers in another life therefore counts the crash, too.
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -118,7 +120,7 @@
   for (const auto& run : crash.runs_) {
     if (names.insert(SuspectName(run.task_)).second &&
         names.size() <= kMaxLoggedTasks) {
-      logged += (logged.empty() ? "" : " ") + run.task_.ToString();
+      absl::StrAppend(&logged, logged.empty() ? "" : " ", run.task_.ToString());
     }
   }
   metrics_->Increment(FleetCounter::kWorkersCrashed);
