Let tasks with a single crash wait only shortly for a worker of their own

A crash makes suspects of all tasks that were on the worker.

A task with one crash now waits 1 s for such a worker, and is then placed like others once its crash is durable. From the second crash on it is kept apart as before: an innocent task meets a deadly one twice at most, and the third run is alone. A run is no suspect any more after 3 s instead of 10, as tasks crash their workers when they start; the crashes of a lasting task are still kept for 10 s.

few_suspects_run_at_a_time failed with 4 > 2: it bounded the workers that run tasks with one crash or more. The bound of a quarter now holds from the second crash on, for the reason above, and the test judges those. In exchange it checks that no task crashes more than three workers.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -387,6 +387,9 @@
   // Returns the name of the task or, if it is a gang's, of its step.
   auto SuspectName(const TaskId& id) -> std::string;
   auto IsSuspect(const StepRun& step, int index) const -> bool;
+  // Returns true if the suspect must not be placed like other tasks (yet).
+  auto NeedsIsolation(const StepRun& step, int index, Millis now_ms) const
+      -> bool;
   // Marks the worker's runs of suspects that an earlier owner has started.
   auto MarkAdoptedSuspects(FleetWorker& worker) -> void;
   // Ends the suspicion of runs that have lasted long enough.
--- a/fleet/dispatcher_crashes.cc
+++ b/fleet/dispatcher_crashes.cc
@@ -32,9 +32,16 @@
 // Workers are kept for a start at most this long, for example while its team is
 // at its limit.
 constexpr Millis kMaxReservationMs = 3000;
-// A run that has lasted for this long is no suspect any more, and other tasks
-// may be placed beside it.
-constexpr Millis kSuspicionMs = 10000;
+// A task with a single crash waits at most this long for a worker without other
+// suspects. A crash makes suspects of all tasks that were there, most of which
+// did nothing; if each waited for a worker of its own, they would not run for
+// minutes.
+constexpr Millis kMaxIsolationWaitMs = 1000;
+// A task crashes its worker when it starts. A run that has lasted for this long
+// is no suspect any more, and other tasks may be placed beside it.
+constexpr Millis kSuspicionMs = 3000;
+// A lasting task's crashes are forgotten once it has run for this long.
+constexpr Millis kCrashMemoryMs = 10000;
 // Added to the score of an empty worker; larger than all other scores together.
 constexpr double kEmptyWorkerBonus = 1000;
 constexpr double kLastFailurePenalty = 20;
@@ -143,6 +150,7 @@
     }
     if (!job->IsEnded()) {
       const auto version = MarkJobDirty(run.task_.job_);
+      job->crash_version_ = version;
       if (const auto start = suspect_starts_.find(SuspectName(run.task_));
           start != suspect_starts_.end()) {
         start->second.record_version_ = version;
@@ -165,6 +173,20 @@
   return crashes != nullptr && !crashes->runs_.empty();
 }
 
+auto Dispatcher::NeedsIsolation(const StepRun& step, int index,
+                                Millis now_ms) const -> bool {
+  if (!IsSuspect(step, index)) {
+    return false;
+  }
+  const auto& job = *step.job_;
+  return job.FindCrashes(step, index)->runs_.size() > 1 ||
+         !recorder_.IsDurable(ProgressKey(job.record().id_),
+                              job.crash_version_) ||
+         now_ms - step.tasks_[static_cast<std::size_t>(index)]
+                      .waiting_since_ms_ <
+             kMaxIsolationWaitMs;
+}
+
 auto Dispatcher::MarkAdoptedSuspects(FleetWorker& worker) -> void {
   for (auto& [key, run] : worker.runs_) {
     auto* job = FindJob(run.task_.job_);
@@ -181,12 +203,12 @@
 auto Dispatcher::CheckSuspects(Millis now_ms) -> void {
   crash_detector_.Expire(now_ms);
   for (auto& [id, worker] : workers_) {
-    if (worker.suspect_runs_ == 0 || worker.hold_failures_ > 0) {
+    if (worker.hold_failures_ > 0) {
       continue;
     }
     for (auto& [key, run] : worker.runs_) {
-      if (!run.is_suspect_ || run.phase_ != PlacedRun::Phase::kRunning ||
-          now_ms - run.started_ms_ < kSuspicionMs) {
+      const auto age_ms = now_ms - run.started_ms_;
+      if (run.phase_ != PlacedRun::Phase::kRunning || age_ms < kSuspicionMs) {
         continue;
       }
       worker.ClearSuspect(run);
@@ -195,7 +217,8 @@
       const auto* step = job == nullptr ? nullptr
                                         : job->FindStep(run.task_.occurrence_,
                                                         run.task_.step_);
-      if (run.is_long_running_ && step != nullptr && !job->IsEnded()) {
+      if (run.is_long_running_ && age_ms >= kCrashMemoryMs && step != nullptr &&
+          !job->IsEnded() && IsSuspect(*step, run.task_.index_)) {
         job->ForgetCrashes(*step, run.task_.index_);
         MarkJobDirty(run.task_.job_);
       }
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -351,7 +351,8 @@
       ++unrecorded;
       continue;
     }
-    if (const auto index = static_cast<int>(i); IsSuspect(step, index)) {
+    if (const auto index = static_cast<int>(i);
+        NeedsIsolation(step, index, now_ms)) {
       suspects += PlaceSuspect(step, index, 1, queue, now_ms) ? 0 : 1;
       continue;
     }
@@ -402,7 +403,7 @@
   if (!IsWithinTeamLimit(step.job_->record().team_, total)) {
     return false;
   }
-  if (IsSuspect(step, 0)) {
+  if (NeedsIsolation(step, 0, now_ms)) {
     return IsQueueServiceRecorded(queue) &&
            PlaceSuspect(step, 0, count, queue, now_ms);
   }
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -221,6 +221,9 @@
 
   // Version of the progress record that holds the job's end.
   std::uint64_t end_version_ = 0;
+  // First version of the progress record that has the latest crash; 0 if there
+  // was none.
+  std::uint64_t crash_version_ = 0;
   // True once the store holds the job's end.
   bool is_end_recorded_ = false;
   // When the end was stored, or was read from the store (BootMs).
--- a/testing/fleet_crash_test.cc
+++ b/testing/fleet_crash_test.cc
@@ -496,7 +496,12 @@
   for (auto i = 0; i < 6; ++i) {
     fleet.Await(fmt::format("00000000000000d{}", i), "failed");
   }
+  // A quarter of the workers.
   BOOST_TEST(fleet.platform().max_suspect_workers() <= 2);
+  for (auto i = 0; i < 6; ++i) {
+    BOOST_TEST(
+        fleet.platform().CrashesOf(fmt::format("00000000000000d{}", i)) <= 3);
+  }
   fleet.Submit(kLater, "ms=50", 8);
   fleet.Await(kLater, "completed");
   fleet.CheckPromises();
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -849,7 +849,8 @@
     suspect_workers +=
         std::any_of(worker->running_.begin(), worker->running_.end(),
                     [this](const auto& entry) {
-                      return crashes_.contains(entry.first);
+                      const auto it = crashes_.find(entry.first);
+                      return it != crashes_.end() && it->second > 1;
                     })
             ? 1
             : 0;
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -335,7 +335,7 @@
   // Returns how many workers the job's tasks have crashed.
   auto CrashesOf(const std::string& job) const -> int;
   // Returns the highest number of workers that ran, at the same time, tasks
-  // that had crashed a worker before.
+  // that had crashed more than one worker before.
   auto max_suspect_workers() const -> int { return max_suspect_workers_; }
   // Returns the number of the job's runs that are going on now.
   auto RunningOf(const std::string& job) const -> int;
