--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -17,6 +17,11 @@
 // How often the workers' entries are read: a worker that leaves must get no
 // tasks later than 2.5 s after the store shows it.
 constexpr Millis kListPeriodMs = 600;
+// A worker shows a smaller capacity in its entry within a heartbeat, and must
+// not be filled beyond it 3 s later. A read therefore allows starts for 3 s
+// from its sending, of which the delivery of the start order may take half a
+// second.
+constexpr Millis kEntryValidityMs = 2500;
 // Workers whose entries expired during an outage of the store register again
 // within 2 s of its return.
 constexpr Millis kUnlistedGraceMs = 2500;
@@ -60,6 +65,8 @@
     if (entry.ok()) {
       listed.insert(entry->id_);
       HandleWorkerEntry(*entry, record.revision_, now);
+      workers_[entry->id_].entry_valid_until_ms_ =
+          result.sent_ms_ + kEntryValidityMs;
     }
   }
   for (auto& [id, worker] : workers_) {
@@ -90,6 +97,10 @@
 auto Dispatcher::HandleWorkerEntry(const WorkerEntry& entry,
                                    std::int64_t revision, Millis now_ms)
     -> void {
+  if (entry.is_draining_) {
+    crash_detector_.OnDraining({entry.id_, entry.incarnation_, entry.address_},
+                               now_ms);
+  }
   const auto it = workers_.find(entry.id_);
   if (it == workers_.end()) {
     auto& worker = workers_[entry.id_];
@@ -176,6 +187,9 @@
             {"reason", RunLossName(loss)},
             {"lapse_in_ms", std::to_string(worker.LatestLeaseExpiryMs() - now)},
             {"hold_failures", std::to_string(worker.hold_failures_)}});
+  if (loss == RunLoss::kLapsed) {
+    AddCrashSuspects(worker, lost);
+  }
   for (const auto& run : lost) {
     OnRunLost(worker, run, loss);
   }
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -86,6 +86,7 @@
   kFleetRunFound = 6205,
   kFleetRunGone = 6206,
   kFleetEndSuperseded = 6207,
+  kFleetTaskGivenUp = 6208,
   kFleetWorkerListed = 6301,
   kFleetWorkerUnlisted = 6302,
   kFleetWorkerDraining = 6303,
@@ -96,6 +97,7 @@
   kFleetWorkerRemoved = 6308,
   kFleetWorkerClockRestarted = 6309,
   kFleetLateAnswer = 6310,
+  kFleetWorkerCrashed = 6311,
 };
 
 // The catalogue's entry for an event.
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -7,6 +7,8 @@
 //   "ms=50 fail=2"      fails its first two runs
 //   "ms=0"              runs until it is stopped
 //   "ms=100 gang=3"     works once three members of its run are there
+//   "ms=200 crash=50"   crashes its worker after 50 ms
+//   "only=2"            with fail or crash, means the tasks of index 2 alone
 //
 // What the workers see is judged here, independently of what the product
 // claims; violations() lists each broken promise as a sentence.
@@ -65,6 +67,14 @@
   auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
     page_hook_ = std::move(hook);
   }
+  // While true, reads of the keys that begin with `prefix` are refused.
+  auto SetRangeRefused(const std::string& prefix, bool is_refused) -> void {
+    if (is_refused) {
+      refused_ranges_.insert(prefix);
+    } else {
+      refused_ranges_.erase(prefix);
+    }
+  }
   // While true, no watch returns, whatever is written.
   auto SetWatchesDeaf(bool is_deaf) -> void { is_deaf_ = is_deaf; }
   // Forgets all history, so that watches must read anew.
@@ -133,6 +143,7 @@
   int late_transactions_ = 0;
   Millis late_ms_ = 0;
   std::function<void(const std::string&)> page_hook_;
+  std::set<std::string> refused_ranges_;
   std::int64_t revision_ = 1;
   std::int64_t first_kept_ = 1;
   std::int64_t next_lease_ = 100;
@@ -157,6 +168,10 @@
 
   // Ends all that runs and forgets everything; answers again as a new life.
   auto Restart() -> void;
+  // Ends as by a crash of its process: calls that wait fail.
+  auto Crash() -> void;
+  // A worker that has crashed answers nothing for `down_ms` and then restarts.
+  auto SetCrashDownTime(Millis down_ms) -> void { down_ms_ = down_ms; }
   // Answers nothing and writes no entry, but runs on.
   auto SetCut(bool is_cut) -> void { is_cut_ = is_cut; }
   auto SetDraining() -> void { is_draining_ = true; }
@@ -170,6 +185,14 @@
   // Handles requests at once, but sends each answer made from now on `delay_ms`
   // later than it was made. An answer that is already late is not hurried.
   auto DelayAnswers(Millis delay_ms) -> void { answer_delay_ms_ = delay_ms; }
+  // Carries out the next `count` stops without an answer.
+  auto LoseStopAnswers(int count) -> void { stop_answers_to_lose_ = count; }
+  // Neither carries out nor answers the next `count` stops.
+  auto LoseStops(int count) -> void { stops_to_lose_ = count; }
+  // Stops take this long from now on.
+  auto SetStopDuration(Millis ms) -> void { stop_ms_ = ms; }
+  // Changes the capacity; the entry shows it one heartbeat later.
+  auto SetCapacity(std::int64_t cpu_milli, std::int64_t accelerators) -> void;
   // All that is started from now on fails.
   auto SetFailing(bool is_failing) -> void { is_failing_ = is_failing; }
 
@@ -188,6 +211,16 @@
     Millis arrived_ms_;
     int gang_;
     bool fails_;
+    // Time from the start until the run crashes its worker; 0 if it does not.
+    Millis crash_ms_;
+    // When a stop ends the run; 0 until it is stopped.
+    Millis stopped_at_ms_ = 0;
+  };
+  // A larger capacity of before, and until when starts may rely on it.
+  struct FormerCapacity {
+    std::int64_t cpu_milli_;
+    std::int64_t accelerators_;
+    Millis until_ms_;
   };
   struct End {
     std::int64_t number_;
@@ -206,6 +239,10 @@
   auto SendAnswer(const std::shared_ptr<HttpReply>& reply, int status,
                   const std::string& body) -> void;
   auto EndRun(const std::string& task, const std::string& how) -> void;
+  // Returns true if starts may bring the worker to these sums.
+  auto MayHold(std::int64_t cpu_milli, std::int64_t accelerators,
+               Millis now_ms) const -> bool;
+  auto ForgetEnds() -> void;
   auto Tick(Millis now_ms) -> void;
   auto ClockMs() const -> Millis;
   auto WriteEntry() -> void;
@@ -216,20 +253,29 @@
   std::string address_;
   std::int64_t cpu_milli_;
   std::int64_t accelerators_;
+  std::vector<FormerCapacity> former_capacities_;
   std::int64_t born_ms_ = 0;
   Millis started_ms_ = 0;
   bool is_cut_ = false;
   bool is_draining_ = false;
   bool is_failing_ = false;
+  Millis down_ms_ = 0;
+  // Until when the worker is down after a crash; 0 if it is not.
+  Millis down_until_ms_ = 0;
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
   Millis answer_delay_ms_ = 0;
+  int stop_answers_to_lose_ = 0;
+  int stops_to_lose_ = 0;
+  Millis stop_ms_ = 0;
   std::int64_t token_ = 0;
   Millis deadline_ms_ = 0;
   std::int64_t next_end_ = 1;
   std::int64_t entry_number_ = 0;
   Millis next_entry_ms_ = 0;
+  // 0 once the entry has expired.
+  Millis last_entry_ms_ = 0;
   std::map<std::string, Run> running_;
   std::vector<End> ended_;
   // The highest run that was stopped or ended, by task.
@@ -264,6 +310,12 @@
   auto worker(const std::string& id) -> EmulatedWorker& {
     return *workers_.at(id);
   }
+  // Workers write their entries this often from now on. The entry of a worker
+  // that is cut off expires after three times as long.
+  auto SetHeartbeat(Millis ms) -> void {
+    heartbeat_ms_ = ms;
+    entry_ttl_ms_ = 3 * ms;
+  }
   // Registers what a task takes, by the job's id; starts are judged by it.
   auto SetDemand(const std::string& job, std::int64_t cpu_milli,
                  std::int64_t accelerators) -> void {
@@ -279,6 +331,12 @@
   }
   auto starts() const -> int { return starts_; }
   auto StartsOf(const std::string& job) const -> int;
+  auto StartsOfTask(const std::string& task) const -> int;
+  // Returns how many workers the job's tasks have crashed.
+  auto CrashesOf(const std::string& job) const -> int;
+  // Returns the highest number of workers that ran, at the same time, tasks
+  // that had crashed more than one worker before.
+  auto max_suspect_workers() const -> int { return max_suspect_workers_; }
   // Returns the number of the job's runs that are going on now.
   auto RunningOf(const std::string& job) const -> int;
 
@@ -287,16 +345,26 @@
   auto HandleAdvice(const HttpRequest& request,
                     const std::shared_ptr<HttpReply>& reply) -> void;
   auto JudgeStart(EmulatedWorker& worker, const std::string& task) -> void;
+  // Judges a start of a task that has crashed workers.
+  auto JudgeCrashes(const std::string& task) -> void;
   auto Tick() -> void;
 
   uv_loop_t* loop_;
   EmulatedStore store_;
+  Millis heartbeat_ms_ = 300;
+  // 0 if entries do not expire.
+  Millis entry_ttl_ms_ = 0;
   std::string advice_address_;
   std::map<std::string, std::unique_ptr<EmulatedWorker>> workers_;
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> demands_;
   std::set<std::string> allowed_;
   std::set<std::string> done_;
   std::map<std::string, int> failures_;
+  std::map<std::string, int> crashes_;
+  // Starts of a task after it has crashed kMaxCrashes workers.
+  std::map<std::string, int> starts_after_crashes_;
+  std::map<std::string, int> starts_by_task_;
+  int max_suspect_workers_ = 0;
   std::map<std::string, int> starts_by_job_;
   std::vector<std::string> violations_;
   int starts_ = 0;
