--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -1,7 +1,7 @@
 // A session with a worker is a sequence of Hold calls. Each renews the lease of
 // all runs on the worker, waits for the next end and returns the runs in
 // progress and the ends that were not acknowledged. At most one call per worker
-// is pending, so answers arrive in order.
+// is pending, so answers in time arrive in order.
 //
 // A call that takes too long counts as failed, and the next one is sent on
 // another connection. Its answer is still awaited: an end stays true however
