Give exclusive workers only to tasks that take half of one

Exclusive workers stand partly empty until a large task fits. For gangs of 20 tasks of a quarter to a third of a worker that cost more than it gave.

--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -37,7 +37,7 @@
 // not overlap.
 constexpr std::int64_t kRunsPerEpoch = 1000;
 // Workers are made exclusive to tasks that take at least this share of one.
-constexpr double kLargeTaskShare = 0.3;
+constexpr double kLargeTaskShare = 0.5;
 // At most one worker in this many of a service is exclusive to large tasks, but
 // always at least one may be.
 constexpr std::size_t kExclusiveWorkerDivisor = 3;
