Look only at workers with tickets when a step needs advice

What callers saw: on the grown site lookups of 1 s were started 190 ms after their acceptance at the median, and 15 of 100 were late.

Cause: a placement pass looked at each of 350 workers for each waiting step, although nearly all of them have no ticket for it. A pass is followed by a pause of twice its length, so each of the two passes that a job needs came late.

Change: for a queue with advice, the search goes over the step's tickets.

--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -258,19 +258,35 @@
                                 Millis now_ms) -> FleetWorker* {
   FleetWorker* best = nullptr;
   auto best_score = -std::numeric_limits<double>::infinity();
-  for (auto* worker : services_[queue.service_].usable_workers_) {
-    if (!IsEligible(*worker, step, queue, now_ms) ||
-        !HasValidTicket(*worker, step, queue, now_ms)) {
-      continue;
+  const auto consider = [&](FleetWorker& worker) {
+    if (!IsEligible(worker, step, queue, now_ms)) {
+      return;
     }
     const auto is_avoided =
-        worker->entry_.id_ == avoided_worker || !worker->IsUsable(now_ms);
+        worker.entry_.id_ == avoided_worker || !worker.IsUsable(now_ms);
     const auto score =
-        ScoreWorker(*worker, step) - (is_avoided ? kLastFailurePenalty : 0);
+        ScoreWorker(worker, step) - (is_avoided ? kLastFailurePenalty : 0);
     if (score > best_score) {
-      best = worker;
+      best = &worker;
       best_score = score;
     }
+  };
+  if (!queue.advice_.has_value()) {
+    for (auto* worker : services_[queue.service_].usable_workers_) {
+      consider(*worker);
+    }
+    return best;
+  }
+  // Few workers have tickets, and most waiting steps have none.
+  for (const auto& [id, ticket] : step.tickets_) {
+    if (now_ms + kTicketMarginMs >= ticket.expires_ms_) {
+      continue;
+    }
+    if (const auto it = workers_.find(id);
+        it != workers_.end() &&
+        it->second.incarnation_ == ticket.worker_incarnation_) {
+      consider(it->second);
+    }
   }
   return best;
 }
