Report workers that were dropped until the stored record omits them

Cause: the owner dropped two of the lost workers, whose leases had expired, 10 ms before its successor claimed. The stored record still named them, and the report of leases to the successor no longer did, so the successor took them for workers about which nothing is known and waited for a whole lease, 5.2 s, with all tasks. Each start that had not been answered before the loss brings a worker into that state at the moment of a hand-over that drains for seconds.

The test dropped_worker_is_reported_until_the_record_omits_it fails without the change.

Change: an owner remembers what it has dropped until the store holds the record without it, and reports these workers with expired leases.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -317,6 +317,9 @@
           hooks_.on_sole_rights_recorded_();
         }
       }
+      std::erase_if(dropped_workers_, [this](const auto& dropped) {
+        return recorder_.IsDurable(kWorkersKey, dropped.second);
+      });
       RequestPlacementPass();
       continue;
     }
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -359,6 +359,9 @@
   // instance took over.
   auto IsKnownNotRunning(const std::string& queue,
                          const std::string& task) const -> bool;
+  // Has the workers record written anew without the worker, on which nothing
+  // can be running.
+  auto DropFromWorkersRecord(const std::string& id) -> void;
   // Ends the wait for unclaimed workers whose leases have expired.
   auto ForgetExpiredUnclaimedWorkers(Millis now_ms) -> void;
 
@@ -596,6 +599,9 @@
   std::map<std::string, SuspectStart> suspect_starts_;
   // Workers of the previous owner that have not been claimed yet, by id.
   std::map<std::string, UnclaimedWorker> unclaimed_workers_;
+  // Workers on which nothing can be running and that the stored workers record
+  // may still name. The value is the record's first version without them.
+  std::map<std::string, std::uint64_t> dropped_workers_;
   // Until when earlier owners may go on.
   RightsBound rights_bound_;
   // True once that time has passed.
--- a/fleet/dispatcher_recovery.cc
+++ b/fleet/dispatcher_recovery.cc
@@ -147,6 +147,10 @@
   if (!is_state_read_) {
     return expiries;
   }
+  // The stored record still names these, but nothing runs there.
+  for (const auto& [id, version] : dropped_workers_) {
+    expiries[id] = BootMs();
+  }
   for (const auto& [id, worker] : unclaimed_workers_) {
     expiries[id] = worker.lease_expiry_ms_;
   }
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -246,7 +246,7 @@
   for (const auto& id : removed) {
     LogEvent(Event::kFleetWorkerRemoved, {{"worker", id}});
     workers_.erase(id);
-    recorder_.MarkDirty(kWorkersKey);
+    DropFromWorkersRecord(id);
   }
   ForgetExpiredUnclaimedWorkers(now_ms);
 }
@@ -272,6 +272,7 @@
                   {"waited_ms", std::to_string(now_ms - claim_.claimed_ms_)},
                   {"expiry_ms", std::to_string(worker.lease_expiry_ms_ -
                                                claim_.claimed_ms_)}});
+        DropFromWorkersRecord(id);
         return true;
       });
   if (expired == 0) {
@@ -283,10 +284,13 @@
               {"age_ms", std::to_string(now_ms - claim_.claimed_ms_)},
               {"unclaimed_workers", std::to_string(expired)}});
   }
-  recorder_.MarkDirty(kWorkersKey);
   RequestPlacementPass();
 }
 
+auto Dispatcher::DropFromWorkersRecord(const std::string& id) -> void {
+  dropped_workers_[id] = recorder_.MarkDirty(kWorkersKey);
+}
+
 auto Dispatcher::TakeOverEndMs() const -> Millis {
   auto end_ms = has_sole_rights_ ? Millis{0} : rights_bound_.EndMs();
   for (const auto& [id, worker] : unclaimed_workers_) {
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -999,6 +999,45 @@
   BOOST_TEST(BootMs() - failed_ms < test.options_.lease_ms_ / 2);
 }
 
+// Guards against LOST: an owner that is replaced just after it has dropped a
+// worker, before the store holds that, does not mention the worker to its
+// successor, which waits for a whole lease.
+BOOST_AUTO_TEST_CASE(dropped_worker_is_reported_until_the_record_omits_it) {
+  TakeOver test;
+  test.options_.lease_ms_ = 500;
+  test.Begin();
+  for (const auto* worker : {"s-0", "s-1", "t-0"}) {
+    test.Answer(worker);
+  }
+  test.AwaitWorkerRead();
+  test.store_.is_holding_answers_ = true;
+  test.store_.Remove("w/s-0");
+  // The worker does not answer any more; it is dropped after its lease and the
+  // time in which its entry may come back.
+  const auto end_ms = BootMs() + 4500;
+  test.Await([&] {
+    if (test.workers_.IsHeld("s-0")) {
+      test.workers_.Fail("s-0");
+    }
+    for (const auto* id : {"s-1", "t-0"}) {
+      if (test.workers_.IsHeld(id)) {
+        test.Answer(id);
+      }
+    }
+    return BootMs() >= end_ms;
+  });
+  BOOST_REQUIRE(test.dispatcher_->worker_count() == 2U);
+  const auto expiries = test.dispatcher_->LeaseExpiries();
+  BOOST_REQUIRE(expiries.contains("s-0"));
+  BOOST_TEST(expiries.at("s-0") <= BootMs());
+  test.store_.ReleaseAnswers();
+  test.Await([&] {
+    return ParseJson(test.store_.Get(kWorkersKey))["workers"].size() == 2;
+  });
+  test.RunTicks();
+  BOOST_TEST(!test.dispatcher_->LeaseExpiries().contains("s-0"));
+}
+
 // Guards against a task that runs twice: the entry of a draining worker that
 // does not answer is overwritten, and that is taken for its shutdown.
 BOOST_AUTO_TEST_CASE(overwritten_entry_does_not_prove_that_a_worker_has_left) {
