--- a/fleet/advice_balancer.cc
+++ b/fleet/advice_balancer.cc
@@ -1,6 +1,6 @@
 // A slot is found by a linear search over a few dozen instances. The reserved
-// slots are those of the first third of the instances by address. This instance
-// sorts first, so that urgent calls need no extra hop while its slot is free.
+// slots are those of the first instances by address. This instance sorts first,
+// so that urgent calls need no extra hop while its slot is free.
 
 #include "fleet/advice_balancer.h"
 
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -482,11 +482,13 @@
   auto RequestPendingAdvice(Millis now_ms) -> void;
   auto RequestAdvice(StepRun& step, const Queue& queue, int task_count,
                      Millis now_ms) -> void;
+  // Returns the workers without a ticket, and adds up in `need` what fits on
+  // the others.
   auto FindAdviceCandidates(const StepRun& step, const Queue& queue,
                             AdviceNeed& need, Millis now_ms)
       -> std::vector<AdviceCandidate>;
-  // Reserves, for the time of the calls, what fits on the workers named in them
-  // on which the step is known to be allowed.
+  // Reserves, for the time of the calls, what fits on the workers named in
+  // them; tentatively where it is not known that the step is allowed.
   auto ReserveRoom(const StepRun& step, const Queue& queue,
                    const std::vector<AdviceCandidate>& candidates,
                    const std::vector<std::vector<std::string>>& calls) -> void;
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -3,8 +3,9 @@
 //
 // Whether a worker is allowed for a step never changes, but a ticket is valid
 // for only two seconds; advice_plan.h decides about which workers a step asks.
-// The room on workers that are known to be allowed is reserved until the answer
-// arrives. A step makes its next calls when all its last ones have returned.
+// The room on the workers that are asked about is reserved until the answer
+// arrives, and only tentatively where the step may turn out not to be allowed.
+// A step makes its next calls when all its last ones have returned.
 
 #include <fmt/format.h>
 
@@ -93,8 +94,6 @@
   }
 }
 
-// Returns the workers without a ticket, and adds up in `need` what fits on the
-// others.
 auto Dispatcher::FindAdviceCandidates(const StepRun& step, const Queue& queue,
                                       AdviceNeed& need, Millis now_ms)
     -> std::vector<AdviceCandidate> {
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -7,6 +7,8 @@
 // Tasks that need accelerators go to the worker with the fewest left, which
 // keeps whole workers free for tasks that need all accelerators of one. Other
 // tasks go to the least loaded worker, which spreads bursts over the workers.
+// Both avoid room that is kept for another step if there is other room: a gang
+// that has just asked about a worker would otherwise find it taken.
 
 #include <fmt/format.h>
 
@@ -236,12 +238,18 @@
     return whole <= 0 ? 0.0
                       : static_cast<double>(used) / static_cast<double>(whole);
   };
-  const auto used = worker.UsedOrKept(step.name_);
-  const auto cpu = fraction(used.cpu_milli_, capacity.cpu_milli_);
-  auto score =
-      requirements.demand_.accelerators_ > 0
-          ? fraction(used.accelerators_, capacity.accelerators_) + cpu / 2
-          : -std::max(cpu, fraction(used.memory_mb_, capacity.memory_mb_));
+  auto score = 0.0;
+  const auto used_or_kept = worker.UsedOrKept(step.name_);
+  if (requirements.demand_.accelerators_ > 0) {
+    auto kept = used_or_kept;
+    kept -= worker.used_;
+    score = fraction(worker.used_.accelerators_, capacity.accelerators_) +
+            fraction(worker.used_.cpu_milli_, capacity.cpu_milli_) / 2 -
+            fraction(kept.accelerators_, capacity.accelerators_);
+  } else {
+    score = -std::max(fraction(used_or_kept.cpu_milli_, capacity.cpu_milli_),
+                      fraction(used_or_kept.memory_mb_, capacity.memory_mb_));
+  }
   if (!requirements.preferred_rack_.empty() &&
       worker.Rack() == requirements.preferred_rack_) {
     score += kNearRackBonus;
