Show that time-outs count from a stale clock and that failed watches repeat reads

Callers saw tasks that last stopped or lapsed on workers that were well, and instances with small links that read 1.2 MB every 2.6 s for 44 s.

--- a/testing/http_client_test.cc
+++ b/testing/http_client_test.cc
@@ -131,6 +131,36 @@
   BOOST_TEST((standing.RunUntilSet(result).outcome_ == HttpOutcome::kUnknown));
 }
 
+// Guards against LOST: a sound run is stopped or its lease lapses, as the
+// call's timeout counted from before a long callback in which the call was
+// sent.
+BOOST_AUTO_TEST_CASE(a_timeout_counts_from_the_sending_of_the_call,
+                     *boost::unit_test::disabled()) {
+  StandingLoop standing;
+  standing.Connect();
+  std::optional<HttpResult> result;
+  RunAfter(standing.loop(), 1, [&] {
+    standing.StandStill();
+    standing.Send("/slow", [&](const HttpResult& answer) { result = answer; });
+  });
+  CheckAnswered(standing.RunUntilSet(result));
+}
+
+// Guards against a period that a long callback cuts short.
+BOOST_AUTO_TEST_CASE(a_delay_counts_from_the_setting_of_the_timer,
+                     *boost::unit_test::disabled()) {
+  StandingLoop standing;
+  std::optional<HttpResult> fired;
+  auto set_ms = Millis{0};
+  RunAfter(standing.loop(), 1, [&] {
+    standing.StandStill();
+    set_ms = MonotonicMs();
+    RunAfter(standing.loop(), kTimeoutMs, [&] { fired.emplace(); });
+  });
+  standing.RunUntilSet(fired);
+  BOOST_TEST(MonotonicMs() - set_ms >= kTimeoutMs);
+}
+
 namespace {
 
 struct LateCall {
--- a/testing/slow_store_test.cc
+++ b/testing/slow_store_test.cc
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <uv.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
@@ -90,8 +91,9 @@
 class SlowStore {
  public:
   explicit SlowStore(const PacedAnswer& answer)
-      : server_([answer](const std::string& /*target*/) { return answer; }),
-        store_(&client_, server_.address()) {
+      : SlowStore([answer](const std::string& /*target*/) { return answer; }) {}
+  explicit SlowStore(PacedServer::Handler handler)
+      : server_(std::move(handler)), store_(&client_, server_.address()) {
     signal(SIGPIPE, SIG_IGN);
     SetLogLevel(LogLevel::kError);
   }
@@ -235,4 +237,30 @@
   CheckLargeValue(slow.Read());
 }
 
+// Guards against LOST: instances that read a large configuration again and
+// again fill their links and those between regions, so that answers of workers
+// come late. The watch of this store never answers; the value was read once.
+BOOST_AUTO_TEST_CASE(a_failed_watch_does_not_repeat_the_read,
+                     *boost::unit_test::disabled()) {
+  auto reads = std::make_shared<std::atomic<int>>(0);
+  SlowStore slow([reads](const std::string& target) {
+    if (target.starts_with("/kv-watch")) {
+      return PacedAnswer{.is_silent_ = true};
+    }
+    ++*reads;
+    return ReadAnswer();
+  });
+  const fleet::ConfigWatcher watcher(
+      slow.loop(), &slow.store(), kKey,
+      [](const std::string& /*text*/) -> absl::StatusOr<fleet::FleetConfig> {
+        fleet::FleetConfig config;
+        config.version_ = 1;
+        return config;
+      });
+  slow.RunFor(6000, [] { return false; });
+  BOOST_TEST(watcher.current() != nullptr);
+  BOOST_TEST(*reads == 1);
+  BOOST_TEST(slow.server().requests() > 3);
+}
+
 }  // namespace lentilscale::testing
