Let a step's rank for advice recover while it waits

Cause, suspected: each round of calls moved a step back by one priority, for good, so that new steps came first without end.

Change: AdviceRank, a pure function: the penalty has a bound, and 500 ms without a call make up for one round. A wait never raises a step above its priority.

--- a/fleet/advice_plan.cc
+++ b/fleet/advice_plan.cc
@@ -28,6 +28,10 @@
 // A waiting step knows workers that will have room for this many times its
 // tasks, as others want that room, too.
 constexpr double kFutureRoomFactor = 2;
+// Bounds how far a step falls behind, in priorities.
+constexpr double kMaxRoundPenalty = 8;
+// Time without a call that makes up for one round.
+constexpr double kRoundRecoveryMs = 500;
 
 // Adds up the room that is expected on the workers that are asked about.
 class ExpectedRoom {
@@ -104,6 +108,13 @@
       policy.decide_ms_ + policy.per_worker_ms_ * static_cast<double>(workers));
 }
 
+auto AdviceRank(const AdviceClaim& claim) -> double {
+  const auto penalty =
+      std::min(static_cast<double>(claim.rounds_), kMaxRoundPenalty) -
+      static_cast<double>(claim.idle_ms_) / kRoundRecoveryMs;
+  return claim.priority_ + std::max(0.0, penalty);
+}
+
 auto PlanAdviceCalls(const AdviceNeed& need,
                      std::vector<AdviceCandidate> candidates)
     -> std::vector<std::vector<std::string>> {
--- a/fleet/advice_plan.h
+++ b/fleet/advice_plan.h
@@ -13,6 +13,9 @@
 //   const auto calls = PlanAdviceCalls(need, candidates);
 //   for (const auto& call : calls) { ... RequestAdvice(call) ... }
 //
+// Steps ask in the order of AdviceRank, as each instance makes one call at a
+// time.
+//
 // Pure functions: no clock, no I/O.
 
 #ifndef LENTILSCALE_FLEET_ADVICE_PLAN_H_
@@ -66,6 +69,21 @@
                      std::vector<AdviceCandidate> candidates)
     -> std::vector<std::vector<std::string>>;
 
+// A step that competes with others for calls.
+struct AdviceClaim {
+  // Priority of its queue; 0 comes first.
+  int priority_ = 0;
+  // Rounds of calls since all its tasks were last placed.
+  int rounds_ = 0;
+  // Time since its last round ended, or since it first needed one.
+  Millis idle_ms_ = 0;
+};
+
+// Returns the step's place among those that need advice; lower asks first. Each
+// round moves a step back, so that steps without room cannot take all calls;
+// waiting makes up for that, so that none is passed over without end.
+auto AdviceRank(const AdviceClaim& claim) -> double;
+
 // Returns the time that the service takes for a call about so many workers.
 auto AdviceCallMs(const AdvicePolicy& policy, std::size_t workers) -> Millis;
 
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -548,7 +548,7 @@
     const Queue* queue_;
     int task_count_;
     // Lower ranks are served first.
-    int rank_;
+    double rank_;
   };
   std::vector<PendingAdvice> pending_advice_;
   // The workers of one service at the start of the current placement pass.
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -33,9 +33,6 @@
 
 }  // namespace
 
-// Makes the calls in order of rank: the queue's priority plus the number of
-// rounds since the step was last placed in full. Steps for which no worker has
-// room therefore cannot take all slots.
 auto Dispatcher::RequestPendingAdvice(Millis now_ms) -> void {
   std::stable_sort(pending_advice_.begin(), pending_advice_.end(),
                    [](const PendingAdvice& a, const PendingAdvice& b) {
@@ -51,7 +48,9 @@
                                   int task_count) -> void {
   if (queue.advice_.has_value()) {
     pending_advice_.push_back(
-        {&step, &queue, task_count, queue.priority_ + step.advice_rounds_});
+        {&step, &queue, task_count,
+         AdviceRank({queue.priority_, step.advice_rounds_,
+                     BootMs() - step.last_advice_round_ms_})});
   }
 }
 
@@ -208,9 +207,11 @@
   const auto now = BootMs();
   if (--step->open_advice_calls_ == 0) {
     ++step->advice_rounds_;
+    step->last_advice_round_ms_ = now;
   }
   LogEvent(Event::kFleetAdvice,
            {{"step", step->name_},
+            {"rounds", std::to_string(step->advice_rounds_)},
             {"asked", std::to_string(asked.size())},
             {"answered", result.is_answered_ ? "true" : "false"},
             {"allowed", std::to_string(result.tickets_.size())},
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -109,9 +109,10 @@
   int open_advice_calls_ = 0;
   // No advice call before this time (BootMs), after one that failed.
   Millis next_advice_call_ms_ = 0;
-  // Rounds of advice calls since all tasks of the step were last placed. Each
-  // one moves the step's next round back among those of other steps.
+  // Rounds of advice calls since all tasks of the step were last placed, and
+  // when the last of them ended; see AdviceRank.
   int advice_rounds_ = 0;
+  Millis last_advice_round_ms_ = 0;
   // True if the step has waited so long that it may use workers that are
   // exclusive to other steps. Each placement pass sets it anew.
   bool ignores_exclusivity_ = false;
--- a/testing/advice_plan_test.cc
+++ b/testing/advice_plan_test.cc
@@ -163,4 +163,29 @@
   BOOST_TEST(others >= urgent / 2);
 }
 
+// Guards against a step without room that takes the calls of new steps.
+BOOST_AUTO_TEST_CASE(each_round_moves_a_step_back) {
+  BOOST_TEST(AdviceRank({1, 3, 0}) > AdviceRank({1, 0, 0}));
+  BOOST_TEST(AdviceRank({1, 3, 0}) > AdviceRank({2, 0, 0}));
+}
+
+// Pattern: few workers are left, an old step has had many rounds, and new steps
+// of other jobs keep coming. Guards against LOST: the old step gets no call any
+// more.
+BOOST_AUTO_TEST_CASE(a_step_with_many_rounds_is_not_passed_over_without_end) {
+  constexpr Millis kNewStepEveryMs = 100;
+  constexpr Millis kLongestWaitMs = 5000;
+  auto idle = Millis{0};
+  while (AdviceRank({1, 100, idle}) > AdviceRank({1, 0, 0})) {
+    idle += kNewStepEveryMs;
+    BOOST_REQUIRE(idle <= kLongestWaitMs);
+  }
+}
+
+// Guards against waiting that outranks a more urgent queue.
+BOOST_AUTO_TEST_CASE(a_wait_does_not_raise_a_step_above_its_priority) {
+  BOOST_TEST(AdviceRank({1, 0, 60000}) == AdviceRank({1, 0, 0}));
+  BOOST_TEST(AdviceRank({1, 2, 60000}) > AdviceRank({0, 0, 0}));
+}
+
 }  // namespace lentilscale::fleet
