fleet: the Hold calls move to dispatcher_holds.cc

What sends Hold calls and takes their answers (SendHoldIfDue, RenewAllLeases, OnHoldAnswer, OnLateHoldAnswer) moves to a file of its own, without a change; what an answer says about runs and ends stays.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -12,7 +12,8 @@
 //   dispatcher.cc            lifecycle, jobs, queries
 //   dispatcher_recovery.cc   state that a new owner reads from the store
 //   dispatcher_workers.cc    worker membership and health
-//   dispatcher_sessions.cc   worker sessions: leases, ended runs, stops
+//   dispatcher_holds.cc      worker sessions: Hold calls and leases
+//   dispatcher_sessions.cc   worker sessions: ended and lost runs, stops
 //   dispatcher_crashes.cc    crashes of workers and the tasks suspected of them
 //   dispatcher_queues.cc     services whose workers may run a queue's tasks
 //   dispatcher_placement.cc  placement of tasks on workers
@@ -279,7 +280,7 @@
   auto EnqueueStep(StepRun& step) -> void;
   auto RequeueTask(StepRun& step, int index) -> void;
 
-  // dispatcher_workers.cc and dispatcher_sessions.cc
+  // dispatcher_workers.cc, dispatcher_holds.cc and dispatcher_sessions.cc
   auto ReadWorkers() -> void;
   auto OnWorkersRead(const ReadResult& result) -> void;
   // Adds the worker, or updates it from its entry in the store.
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -1,12 +1,5 @@
-// A session with a worker is a sequence of Hold calls. Each renews the lease of
-// all runs on the worker, waits for the next end and returns the runs in
-// progress and the ends that were not acknowledged. At most one call per worker
-// is pending, so answers in time arrive in order.
-//
-// A call that takes too long counts as failed, and the next one is sent on
-// another connection. Its answer is still awaited: an end stays true however
-// late it is reported, and the task need not run again. The runs in progress
-// are taken from answers in time only, as they may have ended since.
+// What a worker reports in its answers to Hold calls: the runs in progress and
+// the ends that were not acknowledged. Stops and paces what should not go on.
 //
 // An end is acknowledged only after it is durable in the store. A run or an end
 // of a task that is not known (yet) is neither stopped nor acknowledged until
@@ -19,7 +12,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "fleet/dispatcher.h"
@@ -29,23 +21,6 @@
 namespace lentilscale::fleet {
 namespace {
 
-// Longest wait of a Hold call for an end; the worker's own limit.
-constexpr Millis kMaxHoldWaitMs = 2000;
-// A lost Hold call hides the ends on its worker until it times out. Its wait is
-// therefore only slightly longer than the estimated time until the next end.
-constexpr Millis kMinHoldWaitMs = 500;
-constexpr Millis kHoldWaitMarginMs = 200;
-// Hold wait on workers where filling tasks may slow down serving tasks.
-constexpr Millis kMixedLoadHoldWaitMs = 500;
-// Pause between Hold calls while ends are not durable in the store yet.
-constexpr Millis kUnrecordedHoldPauseMs = 150;
-// Pause between Hold calls while no lease may be granted yet.
-constexpr Millis kSharedRightsHoldPauseMs = 300;
-// The last answer of a worker that shuts down may come this long after its call
-// was given up.
-constexpr Millis kLastAnswerGraceMs = 500;
-constexpr Millis kHoldRetryMs = 150;
-constexpr Millis kMaxHoldRetryMs = 1000;
 constexpr Millis kStopRetryMs = 300;
 // Limit on attempts if the configuration never had the job's queue: its tasks
 // are retried without end.
@@ -60,196 +35,6 @@
 
 }  // namespace
 
-auto Dispatcher::SendHoldIfDue(FleetWorker& worker, Millis now_ms) -> void {
-  if (worker.is_hold_pending_ || now_ms < worker.next_hold_ms_ ||
-      !hooks_.has_rights_()) {
-    return;
-  }
-  HoldOrder order;
-  order.fencing_token_ = claim_.epoch_;
-  const auto is_first = !worker.is_claimed_ || worker.hold_failures_ > 0 ||
-                        worker.restart_proved_ms_ != 0;
-  // After a failed call the worker may have restarted and numbered its ends
-  // from 1 again. Acknowledging a number of the previous incarnation would make
-  // it discard ends that were never received.
-  // While an earlier owner has rights it may start a task again whose end it
-  // has not received; the worker must not forget that end before its lease
-  // expires.
-  order.acknowledged_end_ =
-      is_first || !has_sole_rights_ ? 0 : worker.last_recorded_end_;
-  // The lease of a worker that does not answer is not extended: an extension
-  // that may have arrived would delay the time at which its runs must have
-  // ended.
-  std::optional<int> clock_life;
-  if (has_sole_rights_ && worker.clock_updated_ms_ != 0 &&
-      worker.hold_failures_ == 0) {
-    order.worker_lease_end_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
-    clock_life = worker.clock_life_;
-  }
-  if (!is_first && has_sole_rights_ && worker.unrecorded_ends_.empty()) {
-    order.wait_ms_ =
-        worker.filling_runs_ > 0 && worker.serving_runs_ > 0
-            ? kMixedLoadHoldWaitMs
-            : std::clamp(worker.TimeUntilNextEndMs(now_ms) + kHoldWaitMarginMs,
-                         kMinHoldWaitMs, kMaxHoldWaitMs);
-  }
-  order.late_answer_ms_ = options_.lease_ms_;
-  worker.is_hold_pending_ = true;
-  gateway_->Hold(worker.entry_, order,
-                 [this, id = worker.entry_.id_, clock_life,
-                  alive = is_alive_](const HoldResult& result) {
-                   if (*alive) {
-                     OnHoldAnswer(id, clock_life, result);
-                   }
-                 });
-}
-
-auto Dispatcher::RenewAllLeases(Millis now_ms) -> void {
-  for (auto& [id, worker] : workers_) {
-    if (worker.is_claimed_ && worker.hold_failures_ == 0) {
-      worker.next_hold_ms_ = worker.unrecorded_ends_.empty()
-                                 ? now_ms
-                                 : now_ms + kUnrecordedHoldPauseMs;
-      SendHoldIfDue(worker, now_ms);
-    }
-  }
-}
-
-auto Dispatcher::OnHoldAnswer(const std::string& id,
-                              std::optional<int> clock_life,
-                              const HoldResult& result) -> void {
-  const auto it = workers_.find(id);
-  if (it == workers_.end()) {
-    return;
-  }
-  auto& worker = it->second;
-  const auto now = BootMs();
-  if (result.is_late_) {
-    OnLateHoldAnswer(worker, result, now);
-    return;
-  }
-  worker.is_hold_pending_ = false;
-  if (result.status_ == WorkerStatus::kFenced) {
-    hooks_.step_down_(
-        fmt::format("worker {} has seen a higher fencing token", id));
-    return;
-  }
-  if (result.status_ != WorkerStatus::kOk) {
-    if (clock_life.has_value()) {
-      worker.OnLeaseOrderEnded(*clock_life, result.status_, now,
-                               options_.max_lease_ms_);
-    }
-    ++worker.hold_failures_;
-    if (result.status_ != WorkerStatus::kUnknown) {
-      worker.late_answer_until_ms_ = 0;
-    } else if (worker.hold_failures_ == 1) {
-      worker.late_answer_until_ms_ = now + kLastAnswerGraceMs;
-    }
-    worker.next_hold_ms_ =
-        now + std::min(kMaxHoldRetryMs, kHoldRetryMs * worker.hold_failures_);
-    if (worker.hold_failures_ == 2) {
-      metrics_->Increment(FleetCounter::kWorkersSilent);
-      LogEvent(Event::kFleetWorkerSilent,
-               {{"worker", id},
-                {"status", WorkerStatusName(result.status_)},
-                {"runs", std::to_string(worker.runs_.size())},
-                {"lapse_in_ms",
-                 std::to_string(worker.latest_lease_expiry_ms_ - now)}});
-    }
-    return;
-  }
-  const auto former_incarnation = worker.incarnation_;
-  if (result.incarnation_ != worker.incarnation_) {
-    if (worker.incarnation_ != 0) {
-      LogEvent(Event::kFleetWorkerReborn,
-               {{"worker", id}, {"born", std::to_string(result.incarnation_)}});
-      worker.RestartClock(result.worker_clock_ms_, now, options_.max_lease_ms_);
-    }
-    worker.incarnation_ = result.incarnation_;
-    worker.last_received_end_ = 0;
-    worker.last_recorded_end_ = 0;
-    worker.unrecorded_ends_.clear();
-  }
-  UpdateWorkerClock(worker, result.worker_clock_ms_, result.sent_ms_);
-  if (clock_life.has_value()) {
-    worker.OnLeaseOrderEnded(*clock_life, result.status_, now,
-                             options_.max_lease_ms_);
-  }
-  if (result.sent_ms_ >= worker.restart_proved_ms_) {
-    worker.restart_proved_ms_ = 0;
-  }
-  worker.hold_failures_ = 0;
-  if (result.sent_ms_ >= worker.unlisted_since_ms_) {
-    worker.has_deleted_entry_ = false;
-  }
-  if (worker.is_omitted_from_record_) {
-    worker.is_omitted_from_record_ = false;
-    worker.workers_record_version_ = recorder_.MarkDirty(kWorkersKey);
-  }
-  for (const auto& end : result.ended_) {
-    HandleRunEnd(worker, end, now);
-  }
-  for (const auto& running : result.running_) {
-    HandleRunningTask(worker, running, now);
-  }
-  const auto crashes = DetectCrashes(worker, former_incarnation, result);
-  worker.is_claimed_ = true;
-  if (const auto unclaimed = unclaimed_workers_.find(id);
-      unclaimed != unclaimed_workers_.end()) {
-    // Its runs may go on by an earlier owner's lease until the first grant.
-    worker.latest_lease_expiry_ms_ = std::max(
-        worker.latest_lease_expiry_ms_, unclaimed->second.lease_expiry_ms_);
-  }
-  if (result.IsComplete()) {
-    RemoveUnlistedRuns(worker, result);
-    if (unclaimed_workers_.erase(id) > 0 && unclaimed_workers_.empty()) {
-      LogEvent(Event::kFleetTakenOver,
-               {{"epoch", std::to_string(claim_.epoch_)},
-                {"age_ms", std::to_string(now - claim_.claimed_ms_)}});
-    }
-  }
-  for (const auto& crash : crashes) {
-    CountCrash(crash);
-  }
-  if (former_incarnation != worker.incarnation_) {
-    MarkAdoptedSuspects(worker);
-  }
-  ThrottleFillingTasks(worker, result, now);
-  // The worker repeats ends until they are acknowledged, so the next Hold call
-  // is delayed while ends are not durable.
-  worker.next_hold_ms_ =
-      now + (!has_sole_rights_                 ? kSharedRightsHoldPauseMs
-             : worker.unrecorded_ends_.empty() ? 0
-                                               : kUnrecordedHoldPauseMs);
-  SendHoldIfDue(worker, now);
-  RequestPlacementPass();
-}
-
-auto Dispatcher::OnLateHoldAnswer(FleetWorker& worker, const HoldResult& result,
-                                  Millis now_ms) -> void {
-  // Before the first answer in time the worker's life is not known. An end that
-  // is taken then is listed again in that answer, and acknowledged after it.
-  if (result.status_ != WorkerStatus::kOk ||
-      (worker.incarnation_ != 0 &&
-       result.incarnation_ != worker.incarnation_)) {
-    return;
-  }
-  const auto new_ends = std::count_if(
-      result.ended_.begin(), result.ended_.end(), [&](const EndedRun& end) {
-        return end.number_ > worker.last_received_end_;
-      });
-  LogEvent(Event::kFleetLateAnswer,
-           {{"worker", worker.entry_.id_},
-            {"age_ms", std::to_string(now_ms - result.sent_ms_)},
-            {"ends", std::to_string(new_ends)}});
-  for (const auto& end : result.ended_) {
-    HandleRunEnd(worker, end, now_ms);
-  }
-  if (new_ends > 0) {
-    RequestPlacementPass();
-  }
-}
-
 auto Dispatcher::HandleRunEnd(FleetWorker& worker, const EndedRun& end,
                               Millis now_ms) -> void {
   if (end.number_ <= worker.last_received_end_) {
