--- a/testing/fleet_slow_worker_test.cc
+++ b/testing/fleet_slow_worker_test.cc
@@ -32,7 +32,8 @@
 // One instance and two workers; one of them runs a task that lasts.
 class SlowWorker {
  public:
-  SlowWorker() {
+  // All answers of both workers come `delay_ms` late from the beginning.
+  explicit SlowWorker(Millis delay_ms = 0) {
     signal(SIGPIPE, SIG_IGN);
     SetLogLevel(LogLevel::kError);
     platform_.store().Put(
@@ -42,8 +43,9 @@
         R"("stretch":2.0,"target_duration_ms":300,"public":false}],)"
         R"("services":[],"limits":{},"tenants":[{"name":"a",)"
         R"("api_keys":["key-a"],"weight":1,"max_count":{}}]})");
-    platform_.AddWorker("i-0", "s", 4000, 4);
-    platform_.AddWorker("i-1", "s", 4000, 4);
+    for (const auto* id : {"i-0", "i-1"}) {
+      platform_.AddWorker(id, "s", 4000, 4).DelayAnswers(delay_ms);
+    }
     platform_.SetDemand(kJob, 1000, 0);
     platform::BootFile boot;
     boot.node_name_ = "node-0";
@@ -59,8 +61,8 @@
     node_ = *std::move(node);
     BOOST_REQUIRE(Submit());
     BOOST_REQUIRE(RunUntil([&] { return platform_.RunningOf(kJob) == 1; }));
-    // The answer to the start arrives in time.
-    RunFor(300);
+    // The answer to the start arrives.
+    RunFor(300 + delay_ms);
   }
 
   auto platform() -> PlatformEmulator& { return platform_; }
@@ -121,6 +123,11 @@
   std::unique_ptr<platform::PlatformNode> node_;
 };
 
+// Longest time from the death of a slow worker until its lease has expired by
+// the owner's count: the lease, and the last Hold call that an answer allows
+// may be sent as late as one is given up.
+constexpr Millis kMaxLapseMs = 5152 + 2500;
+
 // Expects that the task's run goes on although all answers of its worker come
 // `delay_ms` late.
 auto CheckThatRunLasts(Millis delay_ms) -> void {
@@ -155,4 +162,41 @@
   CheckThatRunLasts(1500);
 }
 
+// Guards against LOST: an owner whose link is slow from the beginning never
+// gets an answer in time, and starts nothing.
+BOOST_AUTO_TEST_CASE(tasks_start_on_workers_that_were_always_slow) {
+  for (const Millis delay_ms : {900, 1500}) {
+    SlowWorker fleet(delay_ms);
+    fleet.RunFor(kSlowMs);
+    BOOST_TEST(fleet.platform().RunningOf(kJob) == 1);
+    BOOST_TEST(fleet.platform().StartsOf(kJob) == 1);
+    for (const auto& violation : fleet.platform().violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+}
+
+// Guards against LOST: the tasks of a worker that dies after it was slow start
+// elsewhere too late, or while they still run there.
+BOOST_AUTO_TEST_CASE(a_slow_worker_that_dies_is_given_up) {
+  for (const Millis delay_ms : {900, 1500}) {
+    SlowWorker fleet;
+    auto& platform = fleet.platform();
+    auto& worker = fleet.worker();
+    worker.DelayAnswers(delay_ms);
+    fleet.RunFor(6000);
+    BOOST_TEST(platform.StartsOf(kJob) == 1);
+    worker.SetCut(true);
+    const auto cut_ms = MonotonicMs();
+    BOOST_TEST(fleet.RunUntil([&] { return platform.StartsOf(kJob) == 2; }));
+    const auto lapse_ms = MonotonicMs() - cut_ms;
+    // The rest covers the start elsewhere.
+    BOOST_TEST(lapse_ms < kMaxLapseMs + 500);
+    BOOST_TEST_MESSAGE("given up after " << lapse_ms << " ms");
+    for (const auto& violation : platform.violations()) {
+      BOOST_ERROR(violation);
+    }
+  }
+}
+
 }  // namespace lentilscale::testing
--- a/testing/fleet_takeover_test.cc
+++ b/testing/fleet_takeover_test.cc
@@ -1290,4 +1290,60 @@
   BOOST_TEST(test.StartsOnS() == 0);
 }
 
+// Guards against LOST, a lease that lapses though the worker answers, and
+// against ends that are forgotten: a late answer does not prove that the worker
+// has not restarted since.
+BOOST_AUTO_TEST_CASE(a_late_answer_renews_the_lease_and_acknowledges_nothing) {
+  TakeOver test;
+  test.Accept("a1", "q");
+  test.Begin();
+  test.Answer("s-1");
+  test.Answer("t-0");
+  test.Await([&] {
+    if (test.workers_.IsHeld("s-0")) {
+      test.Answer("s-0", {}, {{1, kRun, RunEnd::kStopped, ""}});
+    }
+    return test.acknowledged_["s-0"] == 1;
+  });
+  const auto& hold = test.last_hold_["s-0"];
+  for (const Millis delay_ms : {0, 300}) {
+    test.Answer("s-0");
+    test.Await([&] { return test.workers_.IsHeld("s-0"); });
+    BOOST_TEST(hold.worker_lease_end_ms_ != 0);
+    BOOST_TEST(hold.acknowledged_end_ == 1);
+    test.workers_.AnswerLate("s-0", {}, delay_ms);
+    if (delay_ms > 0) {
+      // This call is sent before the late answer arrives.
+      test.Await([&] { return test.workers_.IsHeld("s-0"); });
+      BOOST_TEST(hold.worker_lease_end_ms_ == 0);
+      test.RunFor(delay_ms);
+      test.Fail("s-0");
+    }
+    test.Await([&] { return test.workers_.IsHeld("s-0"); });
+    BOOST_TEST(hold.worker_lease_end_ms_ != 0);
+    BOOST_TEST(hold.acknowledged_end_ == 0);
+    BOOST_TEST(hold.wait_ms_ == 0);
+  }
+}
+
+// Guards against a delayed lapse: the lease of a worker that has answered late
+// is renewed although it has died since.
+BOOST_AUTO_TEST_CASE(a_late_answer_renews_the_lease_once) {
+  TakeOver test;
+  test.Accept("a1", "q");
+  test.Begin();
+  test.Answer("s-0", {kRun});
+  test.Answer("s-1");
+  test.Answer("t-0");
+  test.Await([&] { return test.workers_.IsHeld("s-0"); });
+  test.workers_.AnswerLate("s-0", {});
+  test.Await([&] { return test.workers_.IsHeld("s-0"); });
+  BOOST_TEST(test.last_hold_["s-0"].worker_lease_end_ms_ != 0);
+  for (auto i = 0; i < 3; ++i) {
+    test.Fail("s-0");
+    test.Await([&] { return test.workers_.IsHeld("s-0"); });
+    BOOST_TEST(test.last_hold_["s-0"].worker_lease_end_ms_ == 0);
+  }
+}
+
 }  // namespace lentilscale::fleet
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -6,6 +6,7 @@
 #include <uv.h>
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -66,7 +67,11 @@
             loop_, "127.0.0.1", 0, HttpLimits{},
             [this](const HttpRequest&,
                    const std::shared_ptr<HttpReply>& reply) {
-              reply->Send(status_, body_);
+              if (status_ == 0) {
+                unanswered_.push_back(reply);
+              } else {
+                reply->Send(status_, body_);
+              }
             })),
         client_(loop_, HttpClient::Options{}),
         gateway_(&client_) {
@@ -86,6 +91,25 @@
     }
     return *result;
   }
+  // Returns the time after which an unanswered call with the timeout is given
+  // up.
+  auto TimeToGiveUpStart(Millis timeout_ms) -> Millis {
+    fleet::StartOrder order;
+    order.answer_timeout_ms_ = timeout_ms;
+    return TimeToGiveUp([&](const std::function<void()>& done) {
+      gateway_.Start(entry_, order,
+                     [done](const fleet::OrderResult&) { done(); });
+    });
+  }
+  auto TimeToGiveUpHold(Millis wait_ms, Millis timeout_ms) -> Millis {
+    fleet::HoldOrder order;
+    order.wait_ms_ = wait_ms;
+    order.answer_timeout_ms_ = timeout_ms;
+    return TimeToGiveUp([&](const std::function<void()>& done) {
+      gateway_.Hold(entry_, order,
+                    [done](const fleet::HoldResult&) { done(); });
+    });
+  }
   auto Hold(const std::string& body) -> fleet::WorkerStatus {
     std::optional<fleet::WorkerStatus> result;
     status_ = 200;
@@ -100,8 +124,22 @@
   }
 
  private:
+  auto TimeToGiveUp(
+      const std::function<void(const std::function<void()>&)>& call) -> Millis {
+    status_ = 0;
+    const auto sent_ms = MonotonicMs();
+    auto is_done = false;
+    call([&] { is_done = true; });
+    while (!is_done) {
+      uv_run(loop_, UV_RUN_ONCE);
+    }
+    return MonotonicMs() - sent_ms;
+  }
+
   uv_loop_t* loop_ = uv_default_loop();
   int status_ = 200;
+  // Requests that never get an answer.
+  std::vector<std::shared_ptr<HttpReply>> unanswered_;
   std::string body_;
   std::unique_ptr<HttpServer> server_;
   HttpClient client_;
@@ -111,6 +149,17 @@
 
 }  // namespace
 
+// Guards against LOST: calls to a slow worker are given up after a fixed time.
+BOOST_AUTO_TEST_CASE(calls_are_given_up_after_the_time_in_the_order) {
+  AnsweringWorker worker;
+  const auto start_ms = worker.TimeToGiveUpStart(100);
+  BOOST_TEST((start_ms >= 100 && start_ms < 400), start_ms);
+  BOOST_TEST(worker.TimeToGiveUpStart(900) >= 900);
+  const auto hold_ms = worker.TimeToGiveUpHold(100, 100);
+  BOOST_TEST((hold_ms >= 200 && hold_ms < 500), hold_ms);
+  BOOST_TEST(worker.TimeToGiveUpHold(100, 900) >= 1000);
+}
+
 BOOST_AUTO_TEST_CASE(the_boot_file_is_read) {
   const auto boot = BootFile::FromText(kBoot);
   BOOST_REQUIRE(boot.ok());
