--- a/lentilscale/http_client.h
+++ b/lentilscale/http_client.h
@@ -12,6 +12,7 @@
 
 #include <uv.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -79,6 +80,9 @@
     // Idle time after which a kept connection is closed. It must be shorter
     // than the servers' own.
     Millis idle_ms_ = 3000;
+    // Most connections to one address, those that wait for late answers
+    // included. Not kept yet.
+    std::size_t max_connections_ = 4096;
   };
 
   HttpClient(uv_loop_t* loop, const Options& options);
