Look for the least loaded worker in order of load

At 1,100 workers and 1,600 starts/s the owner needed half a core, its whole share on the large site, and all else waited behind its placement passes.

Cause: each task looked at all usable workers.

The first search of a pass sorts the service's workers by load, each start moves one of them, and a search ends at the first worker that can be no better than the best one found. The choice is the same as before, also among equals. Tasks with accelerators and those with tickets are searched for as before.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -43,6 +43,7 @@
 #include "fleet/fleet_metrics.h"
 #include "fleet/fleet_worker.h"
 #include "fleet/job.h"
+#include "fleet/load_order.h"
 #include "fleet/owner_rights.h"
 #include "fleet/progress_recorder.h"
 #include "fleet/record_store.h"
@@ -555,6 +556,8 @@
   struct ServiceSummary {
     // Usable at least for long-running tasks.
     std::vector<FleetWorker*> usable_workers_;
+    // The same workers by load; empty until a search in this pass needs it.
+    LoadOrder by_load_;
     // For each resource separately: the largest free amount on a usable worker,
     // and the smallest nonzero capacity of any worker.
     Resources max_free_;
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -234,21 +234,21 @@
                              const StepRun& step) const -> double {
   const auto& requirements = *step.step_;
   const auto& capacity = worker.entry_.capacity_;
-  const auto fraction = [](std::int64_t used, std::int64_t whole) {
-    return whole <= 0 ? 0.0
-                      : static_cast<double>(used) / static_cast<double>(whole);
-  };
   auto score = 0.0;
   const auto used_or_kept = worker.UsedOrKept(step.name_);
   if (requirements.demand_.accelerators_ > 0) {
+    const auto fraction = [](std::int64_t used, std::int64_t whole) {
+      return whole <= 0
+                 ? 0.0
+                 : static_cast<double>(used) / static_cast<double>(whole);
+    };
     auto kept = used_or_kept;
     kept -= worker.used_;
     score = fraction(worker.used_.accelerators_, capacity.accelerators_) +
             fraction(worker.used_.cpu_milli_, capacity.cpu_milli_) / 2 -
             fraction(kept.accelerators_, capacity.accelerators_);
   } else {
-    score = -std::max(fraction(used_or_kept.cpu_milli_, capacity.cpu_milli_),
-                      fraction(used_or_kept.memory_mb_, capacity.memory_mb_));
+    score = -LoadOf(used_or_kept, capacity);
   }
   if (!requirements.preferred_rack_.empty() &&
       worker.Rack() == requirements.preferred_rack_) {
@@ -266,7 +266,8 @@
                                 Millis now_ms) -> FleetWorker* {
   FleetWorker* best = nullptr;
   auto best_score = -std::numeric_limits<double>::infinity();
-  const auto consider = [&](FleetWorker& worker) {
+  std::size_t best_index = 0;
+  const auto consider = [&](FleetWorker& worker, std::size_t index) {
     if (!IsEligible(worker, step, queue, now_ms)) {
       return;
     }
@@ -274,18 +275,39 @@
         worker.entry_.id_ == avoided_worker || !worker.IsUsable(now_ms);
     const auto score =
         ScoreWorker(worker, step) - (is_avoided ? kLastFailurePenalty : 0);
-    if (score > best_score) {
+    if (best == nullptr || score > best_score ||
+        (score == best_score && index < best_index)) {
       best = &worker;
       best_score = score;
+      best_index = index;
     }
   };
   if (!queue.advice_.has_value()) {
-    for (auto* worker : services_[queue.service_].usable_workers_) {
-      consider(*worker);
+    auto& service = services_[queue.service_];
+    if (step.step_->demand_.accelerators_ > 0) {
+      for (std::size_t i = 0; i < service.usable_workers_.size(); ++i) {
+        consider(*service.usable_workers_[i], i);
+      }
+      return best;
+    }
+    if (service.by_load_.entries().empty()) {
+      service.by_load_ = LoadOrder(service.usable_workers_);
+    }
+    const auto bonus =
+        step.step_->preferred_rack_.empty() ? 0.0 : kNearRackBonus;
+    for (const auto& entry : service.by_load_.entries()) {
+      const auto best_possible = -entry.load_ + bonus;
+      if (best != nullptr &&
+          (best_possible < best_score ||
+           (best_possible == best_score && best_index < entry.index_))) {
+        break;
+      }
+      consider(*entry.worker_, entry.index_);
     }
     return best;
   }
   // Few workers have tickets, and most waiting steps have none.
+  std::size_t candidates = 0;
   for (const auto& [id, ticket] : step.tickets_) {
     if (now_ms + kTicketMarginMs >= ticket.expires_ms_) {
       continue;
@@ -293,7 +315,7 @@
     if (const auto it = workers_.find(id);
         it != workers_.end() &&
         it->second.incarnation_ == ticket.worker_incarnation_) {
-      consider(it->second);
+      consider(it->second, candidates++);
     }
   }
   return best;
@@ -420,10 +442,12 @@
     }
     chosen.push_back(worker);
     worker->used_ += demand;
+    services_[queue.service_].by_load_.Update(*worker);
     ++step.runs_per_worker_[worker->entry_.id_];
   }
   for (auto* worker : chosen) {
     worker->used_ -= demand;
+    services_[queue.service_].by_load_.Update(*worker);
     --step.runs_per_worker_[worker->entry_.id_];
   }
   if (static_cast<int>(chosen.size()) < count) {
@@ -525,6 +549,7 @@
   placed.started_ms_ = now_ms;
   placed.is_start_unanswered_ = true;
   worker.Add(placed);
+  services_[worker.entry_.service_].by_load_.Update(worker);
   team_usage_[placed.team_] += placed.team_demand_;
   ++step.runs_per_worker_[worker.entry_.id_];
 
