Write progress in the order in which it changed

Cause: the keys to write were taken in alphabetical order. Under load, keys at the front change again before those behind are reached. Of the jobs that the first owner had ended, its successor found those whose ids begin with 0 to d recorded (2,010, 3 not), of e and f 108 recorded and 185 not, the oldest for 26 s. A worker's ends are acknowledged in order, so one job that is not recorded blocks all later ends of its workers, which repeat them in each answer. The record of workers, last in the alphabet, waited as well.

Change: keys are written by the first change that no write has been sent with.

--- a/fleet/progress_recorder.cc
+++ b/fleet/progress_recorder.cc
@@ -41,8 +41,11 @@
 auto ProgressRecorder::MarkDirty(const std::string& key) -> std::uint64_t {
   auto& state = keys_[key];
   state.version_ = next_version_++;
-  if (!state.is_in_flight_) {
-    dirty_.insert(key);
+  if (state.unsent_version_ == 0) {
+    state.unsent_version_ = state.version_;
+    if (!state.is_in_flight_) {
+      dirty_[state.unsent_version_] = key;
+    }
   }
   Schedule(
       std::max<Millis>(0, kMinIntervalMs - (MonotonicMs() - last_flush_ms_)));
@@ -84,12 +87,14 @@
     Transaction transaction;
     transaction.conditions_.push_back({kOwnerKey, owner_revision_});
     while (!dirty_.empty() && batch.keys_.size() < kKeysPerTransaction) {
-      const auto key = *dirty_.begin();
+      const auto key = dirty_.begin()->second;
       dirty_.erase(dirty_.begin());
       auto& state = keys_[key];
       state.is_in_flight_ = true;
       batch.keys_.push_back(key);
       batch.versions_.push_back(state.version_);
+      batch.first_versions_.push_back(state.unsent_version_);
+      state.unsent_version_ = 0;
       transaction.conditions_.push_back({key, state.revision_});
       transaction.puts_.push_back({key, hooks_.encode_(key), 0});
     }
@@ -129,8 +134,11 @@
       // is conditional on the revision that it left.
       state.revision_ = current[batch.keys_[i]];
     }
-    if (state.version_ > state.durable_version_) {
-      dirty_.insert(batch.keys_[i]);
+    if (!is_ok) {
+      state.unsent_version_ = batch.first_versions_[i];
+    }
+    if (state.unsent_version_ != 0) {
+      dirty_[state.unsent_version_] = batch.keys_[i];
     }
   }
   if (is_ok) {
--- a/fleet/progress_recorder.h
+++ b/fleet/progress_recorder.h
@@ -20,7 +20,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -61,11 +60,15 @@
     std::int64_t revision_ = 0;
     std::uint64_t version_ = 0;
     std::uint64_t durable_version_ = 0;
+    // The first version that no write has been sent with; 0 if there is none.
+    std::uint64_t unsent_version_ = 0;
     bool is_in_flight_ = false;
   };
   struct Batch {
     std::vector<std::string> keys_;
     std::vector<std::uint64_t> versions_;
+    // The first unsent version of each key when the batch was sent.
+    std::vector<std::uint64_t> first_versions_;
   };
 
   auto Schedule(Millis delay_ms) -> void;
@@ -79,8 +82,10 @@
   Hooks hooks_;
   std::uint64_t next_version_ = 1;
   std::map<std::string, KeyState> keys_;
-  // Keys that have a version to write and no write in flight.
-  std::set<std::string> dirty_;
+  // Keys that have a version to write and no write in flight, by their first
+  // unsent version. In any other order, keys that change often could keep one
+  // that does not from being written.
+  std::map<std::uint64_t, std::string> dirty_;
   int in_flight_ = 0;
   bool is_scheduled_ = false;
   Millis last_flush_ms_ = 0;
--- a/testing/fleet_parts_test.cc
+++ b/testing/fleet_parts_test.cc
@@ -475,6 +475,28 @@
   BOOST_TEST(recording.store_.pending_.size() == 1U);
 }
 
+// Pattern: jobs whose progress changes with each write, more than a transaction
+// holds. Guards against LOST: the end of another job is never stored, no later
+// end of its workers is acknowledged, and each new owner receives all again.
+BOOST_AUTO_TEST_CASE(a_key_is_written_before_those_that_changed_later) {
+  constexpr auto kBusyKeys = 100;
+  constexpr auto kWrites = 12;
+  Recording recording;
+  const auto change_busy_keys = [&] {
+    for (auto i = 0; i < kBusyKeys; ++i) {
+      recording.recorder_.MarkDirty("busy" + std::to_string(i));
+    }
+  };
+  change_busy_keys();
+  const auto version = recording.recorder_.MarkDirty("later");
+  for (auto i = 0; i < kWrites; ++i) {
+    recording.store_.AwaitPending(1);
+    recording.store_.Answer({StoreStatus::kOk, 11 + i, {}});
+    change_busy_keys();
+  }
+  BOOST_TEST(recording.recorder_.IsDurable("later", version));
+}
+
 BOOST_AUTO_TEST_CASE(a_write_of_a_previous_owner_is_refused) {
   Recording recording;
   recording.recorder_.MarkDirty("k");
