Bound the starts of one placement pass

Cause: a pass started all that had a ticket, up to 3,005 tasks in one turn of the loop. For 0.4 to 1.0 s after it the owner neither sent nor read a renewal of its lease, and lost its authority 26 times, 1,350 to 1,951 ms after the last renewal; 1,867 of the 2,873 starts of one pass reached the workers after their tickets had lapsed. Each successor began with the same pass.

Change: a pass sends 64 starts, and the rest follows in the loop's next turn, after the sockets have been read. While starts are held back, tasks that last and have waited for a second come first (StepRun::IsOverdue).

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -607,6 +607,8 @@
   // True if the last placement pass ended at a step for whose start the window
   // had no room.
   bool is_start_held_back_ = false;
+  // Starts that the current placement pass has sent.
+  int starts_in_pass_ = 0;
   // Duration of the last placement pass.
   double last_pass_ms_ = 0;
   // The configuration from which known_queues_ was last updated.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -33,6 +33,10 @@
 // many steps wait.
 constexpr double kPassPauseFactor = 2;
 constexpr Millis kMaxPassPauseMs = 100;
+// Starts in one pass. The rest follows in the loop's next turn: a turn that
+// sends thousands of orders reads no answers meanwhile, and the renewal of the
+// owner's own lease comes too late.
+constexpr int kMaxStartsPerPass = 64;
 // A ticket is not used this close to its expiry, as the start order still has
 // to reach the worker.
 constexpr Millis kTicketMarginMs = 120;
@@ -53,9 +57,6 @@
 // for an advice call within the 3 s that the users allow.
 constexpr double kMaxIdleServiceShare = 0.6;
 constexpr Millis kMaxExclusiveWaitMs = 1000;
-// While starts are held back, a lasting task that has waited for this long goes
-// before tasks of all priorities.
-constexpr Millis kMaxLastingWaitMs = 1000;
 // Score adjustments, each larger than any difference in load: a worker near the
 // data or without tasks that would be disturbed is preferred, one on which the
 // task's last run failed is avoided.
@@ -74,15 +75,6 @@
   visit(into.accelerators_, from.accelerators_);
 }
 
-// Returns true if a task of the step has waited for `wait_ms`.
-auto HasWaitedFor(const StepRun& step, Millis wait_ms, Millis now_ms) -> bool {
-  return std::any_of(step.tasks_.begin(), step.tasks_.end(),
-                     [&](const Task& task) {
-                       return task.phase_ == Task::Phase::kWaiting &&
-                              now_ms - task.waiting_since_ms_ >= wait_ms;
-                     });
-}
-
 // Returns how many of a service's `workers` may be exclusive to large tasks.
 auto MaxExclusiveWorkers(std::size_t workers) -> std::size_t {
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
@@ -117,6 +109,7 @@
   SummarizeServices(now);
   const auto steps = OrderWaitingSteps(now);
   is_start_held_back_ = false;
+  starts_in_pass_ = 0;
   for (const auto& waiting : steps) {
     auto& step = *waiting.step_;
     step.ignores_exclusivity_ =
@@ -129,13 +122,16 @@
       waiting_.erase(WaitingKeyOf(step));
     }
     if (is_start_held_back_) {
-      // The next answer to a start requests a pass.
       break;
     }
   }
   RequestPendingAdvice(now);
   services_.clear();
   last_pass_ms_ = static_cast<double>(uv_hrtime() - start_ns) / kNsPerMs;
+  if (is_start_held_back_ && start_window_.HasRoom()) {
+    last_pass_ms_ = 0;
+    RequestPlacementPass();
+  }
 }
 
 auto Dispatcher::OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep> {
@@ -147,8 +143,7 @@
     if (queue != nullptr && !job.IsEnded()) {
       steps.push_back({step, queue, std::get<0>(key),
                        job.IsYielding(*step, *queue, wall),
-                       is_start_held_back_ && step->step_->is_long_running_ &&
-                           HasWaitedFor(*step, kMaxLastingWaitMs, now_ms)});
+                       is_start_held_back_ && step->IsOverdue(now_ms)});
     }
   }
   std::stable_sort(
@@ -195,7 +190,7 @@
       service.used_.DominantShare(service.capacity_) >= kMaxIdleServiceShare) {
     return false;
   }
-  return HasWaitedFor(step, kMaxExclusiveWaitMs, now_ms);
+  return step.HasWaitedFor(kMaxExclusiveWaitMs, now_ms);
 }
 
 auto Dispatcher::IsInfeasible(const StepRun& step, const Queue& queue) -> bool {
@@ -395,7 +390,7 @@
       ++unrecorded;
       continue;
     }
-    if (!start_window_.HasRoom()) {
+    if (!start_window_.HasRoom() || starts_in_pass_ >= kMaxStartsPerPass) {
       is_start_held_back_ = true;
       break;
     }
@@ -412,6 +407,7 @@
       continue;
     }
     StartTask(step, static_cast<int>(i), *worker, NextRunNumber(task), now_ms);
+    ++starts_in_pass_;
   }
   if (unplaced > 0) {
     MakeWorkersExclusive(step, queue, unplaced, now_ms);
@@ -494,6 +490,7 @@
   for (auto i = 0; i < count; ++i) {
     StartTask(step, i, *chosen[static_cast<std::size_t>(i)], run, now_ms);
   }
+  starts_in_pass_ += count;
   return true;
 }
 
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -22,6 +22,8 @@
 // A late job yields to others until its age reaches this many objectives; after
 // three objectives it counts as lost.
 constexpr Millis kMaxYieldObjectives = 2;
+// A long-running task has to run again within seconds.
+constexpr Millis kMaxLastingWaitMs = 1000;
 
 }  // namespace
 
@@ -46,6 +48,17 @@
   return {job_->record().id_, occurrence_, step_number_, index};
 }
 
+auto StepRun::HasWaitedFor(Millis wait_ms, Millis now_ms) const -> bool {
+  return std::any_of(tasks_.begin(), tasks_.end(), [&](const Task& task) {
+    return task.phase_ == Task::Phase::kWaiting &&
+           now_ms - task.waiting_since_ms_ >= wait_ms;
+  });
+}
+
+auto StepRun::IsOverdue(Millis now_ms) const -> bool {
+  return step_->is_long_running_ && HasWaitedFor(kMaxLastingWaitMs, now_ms);
+}
+
 auto StepRun::IsAllowedOn(const std::string& worker,
                           std::int64_t incarnation) const
     -> std::optional<bool> {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -133,6 +133,11 @@
   // if that is not known.
   auto IsAllowedOn(const std::string& worker, std::int64_t incarnation) const
       -> std::optional<bool>;
+  // Returns true if a task of the step has waited for `wait_ms`.
+  auto HasWaitedFor(Millis wait_ms, Millis now_ms) const -> bool;
+  // Returns true if a long-running task of the step has waited so long that it
+  // goes before other work, whatever its priority.
+  auto IsOverdue(Millis now_ms) const -> bool;
 };
 
 // An accepted job with the state of its occurrences, steps and tasks.
