Ask for advice first for lasting tasks that have waited for a second

Cause: its queue, of a lower priority, got no call for advice from 30 to 64 s, while 7,563 went to the most urgent queue: each new owner begins with all its steps at the same rank.

Change: a step whose lasting task has waited for a second ranks before those of all queues; each round moves it back as before.

advice_plan_test, a_lasting_task_that_waits_long_asks_before_urgent_steps: fails without the change (rank 2 against 0, by the rule before).

--- a/fleet/advice_plan.cc
+++ b/fleet/advice_plan.cc
@@ -112,7 +112,8 @@
   const auto penalty =
       std::min(static_cast<double>(claim.rounds_), kMaxRoundPenalty) -
       static_cast<double>(claim.idle_ms_) / kRoundRecoveryMs;
-  return claim.priority_ + std::max(0.0, penalty);
+  const auto priority = claim.is_overdue_ ? -1 : claim.priority_;
+  return priority + std::max(0.0, penalty);
 }
 
 auto PlanAdviceCalls(const AdviceNeed& need,
--- a/fleet/advice_plan.h
+++ b/fleet/advice_plan.h
@@ -77,11 +77,15 @@
   int rounds_ = 0;
   // Time since its last round ended, or since it first needed one.
   Millis idle_ms_ = 0;
+  // True if tasks that last have waited for long: they have to run again within
+  // seconds, whatever else is waiting.
+  bool is_overdue_ = false;
 };
 
 // Returns the step's place among those that need advice; lower asks first. Each
 // round moves a step back, so that steps without room cannot take all calls;
-// waiting makes up for that, so that none is passed over without end.
+// waiting makes up for that, so that none is passed over without end. Steps
+// that are overdue come before those of all queues.
 auto AdviceRank(const AdviceClaim& claim) -> double;
 
 // Returns the time that the service takes for a call about so many workers.
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -47,10 +47,11 @@
 auto Dispatcher::AddPendingAdvice(StepRun& step, const Queue& queue,
                                   int task_count) -> void {
   if (queue.advice_.has_value()) {
+    const auto now = BootMs();
     pending_advice_.push_back(
         {&step, &queue, task_count,
          AdviceRank({queue.priority_, step.advice_rounds_,
-                     BootMs() - step.last_advice_round_ms_})});
+                     now - step.last_advice_round_ms_, step.IsOverdue(now)})});
   }
 }
 
--- a/testing/advice_plan_test.cc
+++ b/testing/advice_plan_test.cc
@@ -188,4 +188,13 @@
   BOOST_TEST(AdviceRank({1, 2, 60000}) > AdviceRank({0, 0, 0}));
 }
 
+// Pattern: a new owner has hundreds of urgent steps that all need advice.
+// Guards against LOST: a lasting task of another queue gets no call for as long
+// as urgent steps keep coming.
+BOOST_AUTO_TEST_CASE(a_lasting_task_that_waits_long_asks_before_urgent_steps) {
+  constexpr AdviceClaim kUrgent{0, 0, 0};
+  BOOST_TEST(AdviceRank({2, 0, 0, true}) < AdviceRank(kUrgent));
+  BOOST_TEST(AdviceRank({2, 3, 0, true}) > AdviceRank(kUrgent));
+}
+
 }  // namespace lentilscale::fleet
