Bound the starts whose answers are awaited

Under a backlog the owner sent a start for every task that had room, at once. Where the answers are late, each order waited behind all others on the owner's link or event loop, timed out there, and made a stop and another start; and the order of sending was not that of priority any more.

The owner now sends only as many starts as a window allows that follows the answer times (start_window.h). A pass stops at the first step that has to wait for an answer, and the next answer requests a pass. While starts are held back, a lasting task that has waited for a second goes before all priorities.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -47,6 +47,7 @@
 #include "fleet/owner_rights.h"
 #include "fleet/progress_recorder.h"
 #include "fleet/record_store.h"
+#include "fleet/start_window.h"
 #include "fleet/wait_reason.h"
 #include "fleet/worker_gateway.h"
 #include "lentilscale/timer.h"
@@ -443,8 +444,11 @@
     int priority_;
     // True if other steps of the same priority go first, see Job::IsYielding.
     bool is_yielding_;
+    // True if it goes before steps of all priorities: it lasts, and starts are
+    // held back.
+    bool is_urgent_;
   };
-  auto OrderWaitingSteps() -> std::vector<WaitingStep>;
+  auto OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep>;
   auto SummarizeServices(Millis now_ms) -> void;
   // Returns true if the step has waited too long to heed that workers are
   // exclusive to other steps.
@@ -506,6 +510,8 @@
   auto OnStartResult(const std::string& worker_id, const TaskId& id,
                      std::int64_t run, int clock_life,
                      const OrderResult& result) -> void;
+  // Frees the start's place in the window; placement goes on if it had stopped.
+  auto OnStartAnswered(Millis sent_ms, const OrderResult& result) -> void;
   auto NextRunNumber(const Task& task) const -> std::int64_t;
 
   // dispatcher_stalls.cc
@@ -572,6 +578,10 @@
     std::size_t suspect_workers_ = 0;
   };
   std::map<std::string, ServiceSummary> services_;
+  StartWindow start_window_;
+  // True if the last placement pass ended at a step for whose start the window
+  // had no room.
+  bool is_start_held_back_ = false;
   // Duration of the last placement pass.
   double last_pass_ms_ = 0;
   // The configuration from which known_queues_ was last updated.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -4,6 +4,10 @@
 // time: under a backlog, first-come-first-served would make every job slightly
 // late.
 //
+// While as many starts are awaited as start_window.h allows, placement waits
+// for the next answer. It stops at the first step that is held back, so that
+// those behind it do not take the room for which a gang waits.
+//
 // Tasks that need accelerators go to the worker with the fewest left, which
 // keeps whole workers free for tasks that need all accelerators of one. Other
 // tasks go to the least loaded worker, which spreads bursts over the workers.
@@ -49,6 +53,9 @@
 // for an advice call within the 3 s that the users allow.
 constexpr double kMaxIdleServiceShare = 0.6;
 constexpr Millis kMaxExclusiveWaitMs = 1000;
+// While starts are held back, a lasting task that has waited for this long goes
+// before tasks of all priorities.
+constexpr Millis kMaxLastingWaitMs = 1000;
 // Score adjustments, each larger than any difference in load: a worker near the
 // data or without tasks that would be disturbed is preferred, one on which the
 // task's last run failed is avoided.
@@ -67,6 +74,15 @@
   visit(into.accelerators_, from.accelerators_);
 }
 
+// Returns true if a task of the step has waited for `wait_ms`.
+auto HasWaitedFor(const StepRun& step, Millis wait_ms, Millis now_ms) -> bool {
+  return std::any_of(step.tasks_.begin(), step.tasks_.end(),
+                     [&](const Task& task) {
+                       return task.phase_ == Task::Phase::kWaiting &&
+                              now_ms - task.waiting_since_ms_ >= wait_ms;
+                     });
+}
+
 // Returns how many of a service's `workers` may be exclusive to large tasks.
 auto MaxExclusiveWorkers(std::size_t workers) -> std::size_t {
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
@@ -99,7 +115,9 @@
   const auto start_ns = uv_hrtime();
   ReleaseUnneededSuspectStarts(now);
   SummarizeServices(now);
-  for (const auto& waiting : OrderWaitingSteps()) {
+  const auto steps = OrderWaitingSteps(now);
+  is_start_held_back_ = false;
+  for (const auto& waiting : steps) {
     auto& step = *waiting.step_;
     step.ignores_exclusivity_ =
         MayIgnoreExclusivity(step, *waiting.queue_, now);
@@ -110,28 +128,35 @@
       step.advice_rounds_ = 0;
       waiting_.erase(WaitingKeyOf(step));
     }
+    if (is_start_held_back_) {
+      // The next answer to a start requests a pass.
+      break;
+    }
   }
   RequestPendingAdvice(now);
   services_.clear();
   last_pass_ms_ = static_cast<double>(uv_hrtime() - start_ns) / kNsPerMs;
 }
 
-auto Dispatcher::OrderWaitingSteps() -> std::vector<WaitingStep> {
+auto Dispatcher::OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep> {
   const auto wall = WallMs();
   std::vector<WaitingStep> steps;
   for (const auto& [key, step] : waiting_) {
     const auto& job = *step->job_;
     const auto* queue = FindQueuePolicy(job.record().queue_);
     if (queue != nullptr && !job.IsEnded()) {
-      steps.push_back(
-          {step, queue, std::get<0>(key), job.IsYielding(*step, *queue, wall)});
+      steps.push_back({step, queue, std::get<0>(key),
+                       job.IsYielding(*step, *queue, wall),
+                       is_start_held_back_ && step->step_->is_long_running_ &&
+                           HasWaitedFor(*step, kMaxLastingWaitMs, now_ms)});
     }
   }
-  std::stable_sort(steps.begin(), steps.end(),
-                   [](const WaitingStep& a, const WaitingStep& b) {
-                     return std::tuple(a.priority_, a.is_yielding_) <
-                            std::tuple(b.priority_, b.is_yielding_);
-                   });
+  std::stable_sort(
+      steps.begin(), steps.end(),
+      [](const WaitingStep& a, const WaitingStep& b) {
+        return std::tuple(!a.is_urgent_, a.priority_, a.is_yielding_) <
+               std::tuple(!b.is_urgent_, b.priority_, b.is_yielding_);
+      });
   return steps;
 }
 
@@ -170,11 +195,7 @@
       service.used_.DominantShare(service.capacity_) >= kMaxIdleServiceShare) {
     return false;
   }
-  return std::any_of(
-      step.tasks_.begin(), step.tasks_.end(), [&](const Task& task) {
-        return task.phase_ == Task::Phase::kWaiting &&
-               now_ms - task.waiting_since_ms_ >= kMaxExclusiveWaitMs;
-      });
+  return HasWaitedFor(step, kMaxExclusiveWaitMs, now_ms);
 }
 
 auto Dispatcher::IsInfeasible(const StepRun& step, const Queue& queue) -> bool {
@@ -374,6 +395,10 @@
       ++unrecorded;
       continue;
     }
+    if (!start_window_.HasRoom()) {
+      is_start_held_back_ = true;
+      break;
+    }
     if (const auto index = static_cast<int>(i);
         NeedsIsolation(step, index, now_ms)) {
       suspects += PlaceSuspect(step, index, 1, queue, now_ms) ? 0 : 1;
@@ -400,7 +425,7 @@
     AddAdviceForTakeOver(step, queue, maybe_running, now_ms);
   }
   return unplaced == 0 && unrecorded == 0 && maybe_running == 0 &&
-         suspects == 0;
+         suspects == 0 && !is_start_held_back_;
 }
 
 auto Dispatcher::PlaceGang(StepRun& step, const Queue& queue, Millis now_ms)
@@ -458,6 +483,10 @@
   if (!IsQueueServiceRecorded(queue)) {
     return false;
   }
+  if (!start_window_.HasRoomForGang(count)) {
+    is_start_held_back_ = true;
+    return false;
+  }
   std::int64_t run = 0;
   for (const auto& task : step.tasks_) {
     run = std::max(run, NextRunNumber(task));
@@ -568,6 +597,7 @@
   metrics_->Record(FleetLatency::kStartWait, job.record().queue_,
                    static_cast<double>(waited));
   step.job_->MarkPlaced(step, index, run, worker.entry_.id_);
+  start_window_.OnSent();
   LogEvent(Event::kFleetRunStarting,
            {{"task", order.run_.task_},
             {"run", std::to_string(run)},
@@ -582,11 +612,21 @@
         if (*alive) {
           metrics_->Record(FleetLatency::kStartOrder, service,
                            static_cast<double>(BootMs() - now_ms));
+          OnStartAnswered(now_ms, result);
           OnStartResult(worker_id, id, run, clock_life, result);
         }
       });
 }
 
+auto Dispatcher::OnStartAnswered(Millis sent_ms, const OrderResult& result)
+    -> void {
+  start_window_.OnAnswer(sent_ms, BootMs(),
+                         result.status_ != WorkerStatus::kUnknown);
+  if (is_start_held_back_) {
+    RequestPlacementPass();
+  }
+}
+
 auto Dispatcher::OnStartResult(const std::string& worker_id, const TaskId& id,
                                std::int64_t run, int clock_life,
                                const OrderResult& result) -> void {
