Look only at a job's own workers when it ends

The end of a job looked at all runs of all workers, to stop those of the job.

The steps' counts of runs name the workers. A job with unmatched runs, which are not counted there, is still looked for on all workers.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -146,12 +146,27 @@
   LogEvent(Event::kFleetJobEnded, {{"job", job.record().id_},
                                    {"state", JobStateName(job.state())},
                                    {"epoch", std::to_string(claim_.epoch_)}});
+  std::set<std::string> workers_with_runs;
   for (auto* step : job.steps()) {
     waiting_.erase(WaitingKeyOf(*step));
+    for (const auto& [id, runs] : step->runs_per_worker_) {
+      workers_with_runs.insert(id);
+    }
+  }
+  // Unmatched runs are not among those of the job's steps.
+  if (unmatched_jobs_.contains(job.record().id_)) {
+    for (const auto& [id, worker] : workers_) {
+      workers_with_runs.insert(id);
+    }
   }
   metrics_->Increment(FleetCounter::kJobsEnded);
   const auto now = BootMs();
-  for (auto& [id, worker] : workers_) {
+  for (const auto& id : workers_with_runs) {
+    const auto it = workers_.find(id);
+    if (it == workers_.end()) {
+      continue;
+    }
+    auto& worker = it->second;
     for (auto& [key, run] : worker.runs_) {
       if (run.task_.job_ != job.record().id_) {
         continue;
