--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -284,6 +284,10 @@
   // dispatcher_workers.cc and dispatcher_sessions.cc
   auto ReadWorkers() -> void;
   auto OnWorkersRead(const ReadResult& result) -> void;
+  // Returns the entry in the record. One that has not changed since the last
+  // read is not parsed again.
+  auto ParseWorkerRecord(const Record& record) const
+      -> absl::StatusOr<WorkerEntry>;
   // Adds the worker, or updates it from its entry in the store.
   auto HandleWorkerEntry(const WorkerEntry& entry, std::int64_t revision,
                          Millis now_ms) -> void;
--- a/fleet/dispatcher_workers.cc
+++ b/fleet/dispatcher_workers.cc
@@ -61,7 +61,7 @@
   std::set<std::string> keys;
   for (const auto& record : result.records_) {
     keys.insert(record.key_);
-    const auto entry = hooks_.parse_worker_(record.key_, record.value_);
+    const auto entry = ParseWorkerRecord(record);
     if (entry.ok()) {
       listed.insert(entry->id_);
       HandleWorkerEntry(*entry, record.revision_, now);
@@ -94,6 +94,19 @@
   RequestPlacementPass();
 }
 
+auto Dispatcher::ParseWorkerRecord(const Record& record) const
+    -> absl::StatusOr<WorkerEntry> {
+  if (record.key_.starts_with(options_.worker_prefix_)) {
+    const auto it =
+        workers_.find(record.key_.substr(options_.worker_prefix_.size()));
+    if (it != workers_.end() && record.revision_ != 0 &&
+        it->second.entry_revision_ == record.revision_) {
+      return it->second.entry_;
+    }
+  }
+  return hooks_.parse_worker_(record.key_, record.value_);
+}
+
 auto Dispatcher::HandleWorkerEntry(const WorkerEntry& entry,
                                    std::int64_t revision, Millis now_ms)
     -> void {
