--- a/fleet/start_window.cc
+++ b/fleet/start_window.cc
@@ -10,8 +10,9 @@
 namespace lentilscale::fleet {
 namespace {
 
-// A round is late if at least one answer in this many is.
-constexpr int kLateDivisor = 4;
+// A round is late if at least one answer in this many is. An overload delays
+// all answers, the loss of a data centre those of its workers only.
+constexpr int kLateDivisor = 2;
 
 }  // namespace
 
--- a/fleet/start_window.h
+++ b/fleet/start_window.h
@@ -14,9 +14,9 @@
 // The window follows the answer times, as delay-based congestion control does:
 // it is halved when answers come late or not at all, at most once per answer
 // time, and grows by one with each window of answers in time. Late are those
-// that take longer than Options::target_ms_. A few silent workers do not halve
-// it: that takes a quarter of the answers of a round, and at least
-// Options::min_judged_ answers.
+// that take longer than Options::target_ms_. Workers that are lost do not halve
+// it while most others answer in time: that takes half of the answers of a
+// round, and at least Options::min_judged_ answers.
 //
 // A gang starts all at once, however wide it is: it may exceed the window if
 // half of that is free. The caller starts nothing else while a gang waits for
@@ -35,7 +35,7 @@
     // Bounds of the window, and its size at first, in starts.
     int min_ = 16;
     int max_ = 512;
-    int initial_ = 64;
+    int initial_ = 256;
     // Longest time that an answer in good time takes, as measured by the owner.
     Millis target_ms_ = 250;
     // Fewest answers by which a round is judged.
