--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -57,9 +57,6 @@
 // for an advice call within the 3 s that the users allow.
 constexpr double kMaxIdleServiceShare = 0.6;
 constexpr Millis kMaxExclusiveWaitMs = 1000;
-// While starts are held back, a lasting task that has waited for this long goes
-// before tasks of all priorities.
-constexpr Millis kMaxLastingWaitMs = 1000;
 // Score adjustments, each larger than any difference in load: a worker near the
 // data or without tasks that would be disturbed is preferred, one on which the
 // task's last run failed is avoided.
@@ -78,15 +75,6 @@
   visit(into.accelerators_, from.accelerators_);
 }
 
-// Returns true if a task of the step has waited for `wait_ms`.
-auto HasWaitedFor(const StepRun& step, Millis wait_ms, Millis now_ms) -> bool {
-  return std::any_of(step.tasks_.begin(), step.tasks_.end(),
-                     [&](const Task& task) {
-                       return task.phase_ == Task::Phase::kWaiting &&
-                              now_ms - task.waiting_since_ms_ >= wait_ms;
-                     });
-}
-
 // Returns how many of a service's `workers` may be exclusive to large tasks.
 auto MaxExclusiveWorkers(std::size_t workers) -> std::size_t {
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
