fleet test: a start that is answered late is stopped

What is seen: on workers whose answers to starts come 900 ms late, the owner takes a start for failed after 500 ms and stops the run that the worker has begun, and does the same with the next one. 4 starts instead of 1 in 4.5 s for one lasting task, 24 instead of 6 for six, 12 instead of 3 for a gang; 15 instead of 3 if Holds are answered in time and list the runs; 3 instead of 1 within 3 s if the answers are lost.

The emulated worker can delay the answers to orders alone, and lose starts.

--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -182,9 +182,15 @@
   }
   // Carries out the next `count` starts without an answer.
   auto LoseStartAnswers(int count) -> void { answers_to_lose_ = count; }
+  // Neither carries out nor answers the next `count` starts.
+  auto LoseStarts(int count) -> void { starts_to_lose_ = count; }
   // Handles requests at once, but sends each answer made from now on `delay_ms`
   // later than it was made. An answer that is already late is not hurried.
   auto DelayAnswers(Millis delay_ms) -> void { answer_delay_ms_ = delay_ms; }
+  // The same for the answers to starts and stops alone.
+  auto DelayOrderAnswers(Millis delay_ms) -> void {
+    order_answer_delay_ms_ = delay_ms;
+  }
   // Carries out the next `count` stops without an answer.
   auto LoseStopAnswers(int count) -> void { stop_answers_to_lose_ = count; }
   // Neither carries out nor answers the next `count` stops.
@@ -237,7 +243,7 @@
                   const std::shared_ptr<HttpReply>& reply) -> void;
   auto Lists(std::int64_t last_seen) const -> Json::Value;
   auto SendAnswer(const std::shared_ptr<HttpReply>& reply, int status,
-                  const std::string& body) -> void;
+                  const std::string& body, Millis delay_ms) -> void;
   auto EndRun(const std::string& task, const std::string& how) -> void;
   // Returns true if starts may bring the worker to these sums.
   auto MayHold(std::int64_t cpu_milli, std::int64_t accelerators,
@@ -265,7 +271,9 @@
   int late_starts_ = 0;
   Millis late_ms_ = 0;
   int answers_to_lose_ = 0;
+  int starts_to_lose_ = 0;
   Millis answer_delay_ms_ = 0;
+  Millis order_answer_delay_ms_ = 0;
   int stop_answers_to_lose_ = 0;
   int stops_to_lose_ = 0;
   Millis stop_ms_ = 0;
