fleet: a start that is answered late has not failed

What callers saw: on a loaded link lasting tasks were stopped 0.3 to 1 s after they had begun, by the owner that had started them, again and again.

Cause: a start without an answer after 500 ms counted as failed. The worker had carried it out; the stop that followed ended a sound run, and the next start fared no better.

Change: such a start is overdue until the late answer, a list of the worker's runs or ends, or the end of the lease decides it (dispatcher_starts.cc). Only a list that was requested since and lacks the run leads to a stop. The run keeps its capacity, and its worker gets no other starts meanwhile. Late answers to starts and stops are awaited; those of a former life are ignored, and none ends the longer bound on a run whose start was not answered in time. StartTask and OnStartResult move there from dispatcher_placement.cc. Events 6209 and 6210 tell an order that was carried out from one that was lost.

The ownership walk delivers late answers to starts and stops.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -16,6 +16,7 @@
 //   dispatcher_crashes.cc    crashes of workers and the tasks suspected of them
 //   dispatcher_queues.cc     services whose workers may run a queue's tasks
 //   dispatcher_placement.cc  placement of tasks on workers
+//   dispatcher_starts.cc     start orders and their answers
 //   dispatcher_advice.cc     calls to the advice service and their tickets
 //   dispatcher_stalls.cc     reports of steps that wait for long
 
@@ -498,6 +499,9 @@
   auto OnAdvice(const std::string& job, std::int64_t occurrence, int step,
                 const std::map<std::string, std::int64_t>& asked,
                 const AdviceResult& result) -> void;
+  auto NextRunNumber(const Task& task) const -> std::int64_t;
+
+  // dispatcher_starts.cc
   auto StartTask(StepRun& step, int index, FleetWorker& worker,
                  std::int64_t run, Millis now_ms) -> void;
   // `clock_life` is the life of the worker's clock by which the order's lease
@@ -505,7 +509,30 @@
   auto OnStartResult(const std::string& worker_id, const TaskId& id,
                      std::int64_t run, int clock_life,
                      const OrderResult& result) -> void;
-  auto NextRunNumber(const Task& task) const -> std::int64_t;
+  auto OnStartRefused(FleetWorker& worker, PlacedRun& run, WorkerStatus status,
+                      Millis now_ms) -> void;
+  // Handles a start that was not answered in time.
+  auto OnStartOverdue(FleetWorker& worker, PlacedRun& run, Millis now_ms)
+      -> void;
+  // Notes that the run is in progress.
+  auto ConfirmStart(PlacedRun& run, Millis now_ms) -> void;
+  // Handles a run that a Hold answer lists before its start was answered.
+  auto OnStartListed(FleetWorker& worker, PlacedRun& run, Millis now_ms)
+      -> void;
+  // Decides overdue starts by the runs that a late Hold answer lists. The ends
+  // in the answer must have been handled.
+  auto OnLateRunList(FleetWorker& worker, const HoldResult& result,
+                     Millis now_ms) -> void;
+  // Stops the runs whose starts are overdue and that are missing from a list
+  // requested since. The listed runs and ends must have been handled.
+  auto StopUnlistedStarts(FleetWorker& worker, const HoldResult& result,
+                          Millis now_ms) -> void;
+  // Logs the `evidence` that decides the start if it is overdue, and frees the
+  // worker for other starts.
+  auto ResolveOverdueStart(FleetWorker& worker, PlacedRun& run,
+                           const std::string& evidence, Millis now_ms) -> void;
+  auto LogStartFailed(const FleetWorker& worker, const PlacedRun& run,
+                      WorkerStatus status) -> void;
 
   // dispatcher_stalls.cc
   // Counts the workers that meet the conditions of placement for one task of
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -10,14 +10,11 @@
 // Both avoid room that is kept for another step if there is other room: a gang
 // that has just asked about a worker would otherwise find it taken.
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
 
 #include "fleet/dispatcher.h"
-#include "lentilscale/log.h"
 
 namespace lentilscale::fleet {
 namespace {
@@ -32,9 +29,6 @@
 // A ticket is not used this close to its expiry, as the start order still has
 // to reach the worker.
 constexpr Millis kTicketMarginMs = 120;
-// A worker that refused or did not answer a start gets no further starts for
-// this long.
-constexpr Millis kStartBackoffMs = 400;
 // Run numbers set aside for each epoch, so that those of successive owners do
 // not overlap.
 constexpr std::int64_t kRunsPerEpoch = 1000;
@@ -507,123 +501,4 @@
   }
 }
 
-auto Dispatcher::StartTask(StepRun& step, int index, FleetWorker& worker,
-                           std::int64_t run, Millis now_ms) -> void {
-  const auto id = step.TaskIdAt(index);
-  const auto& task = step.tasks_[static_cast<std::size_t>(index)];
-  const auto& job = *step.job_;
-  PlacedRun placed;
-  placed.task_ = id;
-  placed.run_ = run;
-  placed.demand_ = CapacityDemand(*step.step_);
-  placed.team_demand_ = step.step_->demand_;
-  placed.team_ = job.record().team_;
-  placed.tail_target_ms_ = step.step_->tail_latency_target_ms_;
-  placed.fills_ = step.step_->uses_idle_cpu_;
-  placed.is_long_running_ = step.step_->is_long_running_;
-  placed.estimate_ms_ = step.step_->estimate_ms_;
-  placed.started_ms_ = now_ms;
-  placed.is_start_unanswered_ = true;
-  worker.Add(placed);
-  team_usage_[placed.team_] += placed.team_demand_;
-  ++step.runs_per_worker_[worker.entry_.id_];
-
-  StartOrder order;
-  order.run_ = {id.ToString(), run};
-  order.spec_ = job.record().spec_;
-  order.checkpoint_ = task.checkpoint_;
-  if (const auto ticket = step.tickets_.find(worker.entry_.id_);
-      ticket != step.tickets_.end()) {
-    order.ticket_ = ticket->second.text_;
-  }
-  order.fencing_token_ = claim_.epoch_;
-  order.worker_lease_end_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
-  const auto waited = now_ms - task.waiting_since_ms_;
-  metrics_->Increment(FleetCounter::kStarts);
-  metrics_->Record(FleetLatency::kStartWait, job.record().queue_,
-                   static_cast<double>(waited));
-  step.job_->MarkPlaced(step, index, run, worker.entry_.id_);
-  LogEvent(Event::kFleetRunStarting,
-           {{"task", order.run_.task_},
-            {"run", std::to_string(run)},
-            {"worker", worker.entry_.id_},
-            {"waited_ms", std::to_string(waited)},
-            {"token", std::to_string(claim_.epoch_)}});
-  gateway_->Start(
-      worker.entry_, order,
-      [this, worker_id = worker.entry_.id_, service = worker.entry_.service_,
-       id, run, now_ms, clock_life = worker.clock_life_,
-       alive = is_alive_](const OrderResult& result) {
-        if (*alive) {
-          metrics_->Record(FleetLatency::kStartOrder, service,
-                           static_cast<double>(BootMs() - now_ms));
-          OnStartResult(worker_id, id, run, clock_life, result);
-        }
-      });
-}
-
-auto Dispatcher::OnStartResult(const std::string& worker_id, const TaskId& id,
-                               std::int64_t run, int clock_life,
-                               const OrderResult& result) -> void {
-  const auto it = workers_.find(worker_id);
-  if (it == workers_.end()) {
-    return;
-  }
-  auto& worker = it->second;
-  const auto now = BootMs();
-  if (result.status_ != WorkerStatus::kWrongWorker) {
-    UpdateWorkerClock(worker, result.worker_clock_ms_, result.sent_ms_);
-  }
-  worker.OnLeaseOrderEnded(clock_life, result.status_, now,
-                           options_.max_lease_ms_);
-  auto* placed = worker.Find(id.ToString(), run);
-  if (placed == nullptr) {
-    // The run has ended already.
-    return;
-  }
-  if (result.status_ != WorkerStatus::kUnknown) {
-    placed->is_start_unanswered_ = false;
-  }
-  if (result.status_ == WorkerStatus::kOk) {
-    if (auto* job = FindJob(id.job_); job != nullptr) {
-      job->MarkStarted();
-    }
-    if (placed->phase_ == PlacedRun::Phase::kStarting) {
-      placed->phase_ = PlacedRun::Phase::kRunning;
-      placed->order_effective_ms_ = now;
-    }
-    return;
-  }
-  metrics_->Increment(FleetCounter::kStartsFailed);
-  LogEvent(Event::kFleetStartFailed,
-           {{"task", id.ToString()},
-            {"run", std::to_string(run)},
-            {"worker", worker_id},
-            {"status", WorkerStatusName(result.status_)}});
-  if (result.status_ == WorkerStatus::kFenced) {
-    hooks_.step_down_(
-        fmt::format("worker {} has seen a higher token", worker_id));
-    return;
-  }
-  auto* job = FindJob(id.job_);
-  auto* step =
-      job == nullptr ? nullptr : job->FindStep(id.occurrence_, id.step_);
-  if (result.status_ == WorkerStatus::kBadTicket && step != nullptr) {
-    step->tickets_.erase(worker_id);
-  } else if (result.status_ != WorkerStatus::kStaleRun) {
-    worker.no_starts_until_ms_ = now + kStartBackoffMs;
-  }
-  if (result.status_ == WorkerStatus::kUnknown) {
-    // The worker may still start the run; an answered stop rules that out.
-    MarkStopping(*placed);
-    if (step != nullptr && step->step_->is_gang_) {
-      MarkGangStopping(*step, run);
-    }
-    SendStop(worker, *placed, now);
-    return;
-  }
-  const auto gone = *placed;
-  OnRunLost(worker, gone);
-}
-
 }  // namespace lentilscale::fleet
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -6,7 +6,8 @@
 // A call that takes too long counts as failed, and the next one is sent on
 // another connection. Its answer is still awaited: an end stays true however
 // late it is reported, and the task need not run again. The runs in progress
-// are taken from answers in time only, as they may have ended since.
+// are taken from answers in time only, as they may have ended since; but a late
+// list decides starts that were not answered, see dispatcher_starts.cc.
 //
 // An end is acknowledged only after it is durable in the store. A run or an end
 // of a task that is not known (yet) is neither stopped nor acknowledged until
@@ -39,6 +40,8 @@
 constexpr Millis kMixedLoadHoldWaitMs = 500;
 // Pause between Hold calls while ends are not durable in the store yet.
 constexpr Millis kUnrecordedHoldPauseMs = 150;
+// The same while a start is overdue, for a list that decides it.
+constexpr Millis kOverdueStartHoldPauseMs = 150;
 // Pause between Hold calls while no lease may be granted yet.
 constexpr Millis kSharedRightsHoldPauseMs = 300;
 // The last answer of a worker that shuts down may come this long after its call
@@ -86,7 +89,9 @@
     order.worker_lease_end_ms_ = worker.GrantLease(now_ms, options_.lease_ms_);
     clock_life = worker.clock_life_;
   }
-  if (!is_first && has_sole_rights_ && worker.unrecorded_ends_.empty()) {
+  // A list decides an overdue start, so it is not delayed.
+  if (!is_first && has_sole_rights_ && worker.unrecorded_ends_.empty() &&
+      worker.overdue_starts_ == 0) {
     order.wait_ms_ =
         worker.filling_runs_ > 0 && worker.serving_runs_ > 0
             ? kMixedLoadHoldWaitMs
@@ -200,6 +205,7 @@
     worker.latest_lease_expiry_ms_ = std::max(
         worker.latest_lease_expiry_ms_, unclaimed->second.lease_expiry_ms_);
   }
+  StopUnlistedStarts(worker, result, now);
   if (result.IsComplete()) {
     RemoveUnlistedRuns(worker, result);
     if (unclaimed_workers_.erase(id) > 0 && unclaimed_workers_.empty()) {
@@ -218,9 +224,10 @@
   // The worker repeats ends until they are acknowledged, so the next Hold call
   // is delayed while ends are not durable.
   worker.next_hold_ms_ =
-      now + (!has_sole_rights_                 ? kSharedRightsHoldPauseMs
-             : worker.unrecorded_ends_.empty() ? 0
-                                               : kUnrecordedHoldPauseMs);
+      now + (!has_sole_rights_                  ? kSharedRightsHoldPauseMs
+             : !worker.unrecorded_ends_.empty() ? kUnrecordedHoldPauseMs
+             : worker.overdue_starts_ > 0       ? kOverdueStartHoldPauseMs
+                                                : 0);
   SendHoldIfDue(worker, now);
   RequestPlacementPass();
 }
@@ -245,6 +252,7 @@
   for (const auto& end : result.ended_) {
     HandleRunEnd(worker, end, now_ms);
   }
+  OnLateRunList(worker, result, now_ms);
   if (new_ends > 0) {
     RequestPlacementPass();
   }
@@ -259,6 +267,9 @@
   metrics_->Increment(end.end_ == RunEnd::kDone     ? FleetCounter::kEndsDone
                       : end.end_ == RunEnd::kFailed ? FleetCounter::kEndsFailed
                                                     : FleetCounter::kEndsOther);
+  if (auto* run = worker.Find(end.run_.task_, end.run_.run_); run != nullptr) {
+    ResolveOverdueStart(worker, *run, "ended", now_ms);
+  }
   RemoveRun(worker, end.run_.task_, end.run_.run_);
   LogEvent(Event::kFleetRunEnded, {{"task", end.run_.task_},
                                    {"run", std::to_string(end.run_.run_)},
@@ -406,7 +417,9 @@
   auto* step =
       job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
   if (auto* known = worker.Find(ref.task_, ref.run_); known != nullptr) {
-    known->is_start_unanswered_ = false;
+    if (known->is_start_unanswered_) {
+      OnStartListed(worker, *known, now_ms);
+    }
     if (task != nullptr && !running.checkpoint_.empty() &&
         task->run_ == ref.run_) {
       task->checkpoint_ = running.checkpoint_;
@@ -533,6 +546,10 @@
             {"lapse_in_ms",
              std::to_string(worker.LatestLeaseExpiryMs() - BootMs())}});
   metrics_->Increment(FleetCounter::kRunsGone);
+  if (auto* placed = worker.Find(run.task_.ToString(), run.run_);
+      placed != nullptr) {
+    ResolveOverdueStart(worker, *placed, RunLossName(loss), BootMs());
+  }
   RemoveRun(worker, run.task_.ToString(), run.run_);
   auto* job = FindJob(run.task_.job_);
   auto* task = job == nullptr ? nullptr : job->FindTask(run.task_);
@@ -577,34 +594,37 @@
   LogEvent(Event::kFleetRunStopping, {{"task", ref.task_},
                                       {"run", std::to_string(ref.run_)},
                                       {"worker", worker.entry_.id_}});
-  gateway_->Stop(worker.entry_, ref, claim_.epoch_,
-                 [this, id = worker.entry_.id_, ref,
-                  alive = is_alive_](const OrderResult& result) {
-                   if (!*alive) {
-                     return;
-                   }
-                   const auto it = workers_.find(id);
-                   auto* placed = it == workers_.end()
-                                      ? nullptr
-                                      : it->second.Find(ref.task_, ref.run_);
-                   if (placed == nullptr) {
-                     return;
-                   }
-                   placed->is_stop_sent_ = false;
-                   if (result.status_ == WorkerStatus::kFenced) {
-                     hooks_.step_down_(fmt::format(
-                         "worker {} has seen a higher fencing token", id));
-                     return;
-                   }
-                   if (result.status_ == WorkerStatus::kOk ||
-                       result.status_ == WorkerStatus::kStaleRun) {
-                     // The worker will not start this run any more. A list
-                     // requested after the longest time that a stop takes shows
-                     // whether the run has ended.
-                     placed->order_effective_ms_ =
-                         BootMs() + options_.max_stop_ms_;
-                   }
-                 });
+  gateway_->Stop(
+      worker.entry_, ref, claim_.epoch_,
+      [this, id = worker.entry_.id_, ref, incarnation = worker.incarnation_,
+       alive = is_alive_](const OrderResult& result) {
+        if (!*alive) {
+          return;
+        }
+        const auto it = workers_.find(id);
+        auto* placed = it == workers_.end()
+                           ? nullptr
+                           : it->second.Find(ref.task_, ref.run_);
+        if (placed == nullptr ||
+            (result.is_late_ && incarnation != it->second.incarnation_)) {
+          return;
+        }
+        if (!result.is_late_) {
+          placed->is_stop_sent_ = false;
+        }
+        if (result.status_ == WorkerStatus::kFenced) {
+          hooks_.step_down_(
+              fmt::format("worker {} has seen a higher fencing token", id));
+          return;
+        }
+        if (result.status_ == WorkerStatus::kOk ||
+            result.status_ == WorkerStatus::kStaleRun) {
+          // The worker will not start this run any more. A list
+          // requested after the longest time that a stop takes shows
+          // whether the run has ended.
+          placed->order_effective_ms_ = BootMs() + options_.max_stop_ms_;
+        }
+      });
 }
 
 auto Dispatcher::ThrottleFillingTasks(FleetWorker& worker,
--- a/fleet/fleet_metrics.cc
+++ b/fleet/fleet_metrics.cc
@@ -17,9 +17,9 @@
 
 constexpr auto kCounterNames = std::to_array<std::string_view>(
     {"requests_refused", "jobs_accepted", "jobs_ended", "starts",
-     "starts_failed", "ends_done", "ends_failed", "ends_other", "runs_gone",
-     "advice_calls", "take_overs", "workers_silent", "stalls_reported",
-     "workers_crashed", "tasks_given_up"});
+     "starts_failed", "starts_overdue", "ends_done", "ends_failed",
+     "ends_other", "runs_gone", "advice_calls", "take_overs", "workers_silent",
+     "stalls_reported", "workers_crashed", "tasks_given_up"});
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(FleetCounter::kCount));
 
--- a/fleet/fleet_metrics.h
+++ b/fleet/fleet_metrics.h
@@ -24,6 +24,7 @@
   kJobsEnded,
   kStarts,
   kStartsFailed,
+  kStartsOverdue,
   kEndsDone,
   kEndsFailed,
   kEndsOther,
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -138,6 +138,7 @@
   serving_runs_ -= it->second.tail_target_ms_ > 0 ? 1 : 0;
   unknown_demand_runs_ -= it->second.is_demand_known_ ? 0 : 1;
   ClearSuspect(it->second);
+  ClearStartOverdue(it->second);
   runs_.erase(it);
 }
 
@@ -156,6 +157,16 @@
   run.is_alone_ = false;
 }
 
+auto FleetWorker::MarkStartOverdue(PlacedRun& run, Millis now_ms) -> void {
+  overdue_starts_ += run.overdue_since_ms_ == 0 ? 1 : 0;
+  run.overdue_since_ms_ = now_ms;
+}
+
+auto FleetWorker::ClearStartOverdue(PlacedRun& run) -> void {
+  overdue_starts_ -= run.overdue_since_ms_ == 0 ? 0 : 1;
+  run.overdue_since_ms_ = 0;
+}
+
 auto FleetWorker::Find(const std::string& task, std::int64_t run)
     -> PlacedRun* {
   const auto it = runs_.find({task, run});
@@ -197,8 +208,8 @@
   return is_listed_ && is_in_workers_record_ && is_claimed_ &&
          IsEntryCurrent() && !entry_.is_draining_ && clock_updated_ms_ != 0 &&
          restart_proved_ms_ == 0 && hold_failures_ < kHoldFailureLimit &&
-         unknown_demand_runs_ == 0 && now_ms <= entry_valid_until_ms_ &&
-         now_ms >= no_starts_until_ms_ &&
+         unknown_demand_runs_ == 0 && overdue_starts_ == 0 &&
+         now_ms <= entry_valid_until_ms_ && now_ms >= no_starts_until_ms_ &&
          now_ms >= QuarantineEndMs(is_long_running);
 }
 
--- a/fleet/fleet_worker.h
+++ b/fleet/fleet_worker.h
@@ -79,8 +79,16 @@
   // running, so a list without it proves that it is not. 0 until the latest
   // start or stop order has been answered.
   Millis order_effective_ms_ = 0;
-  // True until the start order has been answered or the worker lists the run.
+  // True until the start order has been answered in time or the worker lists
+  // the run.
   bool is_start_unanswered_ = false;
+  // Since when the start is overdue: it was not answered in time, and nothing
+  // has shown yet whether it was carried out. 0 if it is not overdue.
+  Millis overdue_since_ms_ = 0;
+  // The worker's incarnation and the life of its clock when the start order was
+  // sent.
+  std::int64_t order_incarnation_ = 0;
+  int order_clock_life_ = 0;
   Millis next_stop_ms_ = 0;
   // True while a stop order awaits its answer.
   bool is_stop_sent_ = false;
@@ -205,6 +213,8 @@
   int unknown_demand_runs_ = 0;
   int suspect_runs_ = 0;
   int lone_runs_ = 0;
+  // Runs whose starts are overdue. No further starts are sent meanwhile.
+  int overdue_starts_ = 0;
   // The suspect task or gang that is about to be started here; empty if there
   // is none.
   std::string reserved_for_suspect_;
@@ -239,6 +249,9 @@
   // Marks one of the worker's runs as suspect.
   auto MarkSuspect(PlacedRun& run, bool is_alone) -> void;
   auto ClearSuspect(PlacedRun& run) -> void;
+  // Marks the start of one of the worker's runs as overdue.
+  auto MarkStartOverdue(PlacedRun& run, Millis now_ms) -> void;
+  auto ClearStartOverdue(PlacedRun& run) -> void;
   // Returns true if no other runs may be started beside a suspect.
   auto IsKeptForSuspect() const -> bool {
     return lone_runs_ > 0 || !reserved_for_suspect_.empty();
--- a/fleet/worker_gateway.h
+++ b/fleet/worker_gateway.h
@@ -111,6 +111,8 @@
   Millis worker_clock_ms_ = 0;
   // When the call was sent.
   Millis sent_ms_ = 0;
+  // True if the call had been reported as unanswered before.
+  bool is_late_ = false;
 };
 
 // Most ends that a worker lists in one answer; the others follow once these are
@@ -147,8 +149,14 @@
   // clock.
   Millis worker_lease_end_ms_ = 0;
   std::int64_t fencing_token_ = 0;
+  // Time for which an answer is still reported after the call was given up.
+  Millis late_answer_ms_ = 0;
 };
 
+// Time for which the answer to a stop is still reported after the call was
+// given up. The stop is repeated meanwhile, and each takes a connection.
+inline constexpr Millis kLateStopAnswerMs = 2000;
+
 // Renews the lease that covers all runs on a worker, and requests its runs and
 // ends.
 struct HoldOrder {
@@ -165,8 +173,9 @@
 };
 
 // Calls to workers. Each callback runs once, after the call returns. That of a
-// Hold call runs once more if the answer arrives within `late_answer_ms_` after
-// the call was given up.
+// Start or Hold call runs once more if the answer arrives within
+// `late_answer_ms_` after the call was given up, that of a Stop call within
+// kLateStopAnswerMs.
 class WorkerGateway {
  public:
   using OrderCallback = std::function<void(const OrderResult&)>;
--- a/lentilscale/log.cc
+++ b/lentilscale/log.cc
@@ -82,6 +82,8 @@
     {Event::kFleetRunGone, "fleet_run_gone", LogLevel::kWarning},
     {Event::kFleetEndSuperseded, "fleet_end_superseded", LogLevel::kWarning},
     {Event::kFleetTaskGivenUp, "fleet_task_given_up", LogLevel::kWarning},
+    {Event::kFleetStartOverdue, "fleet_start_overdue", LogLevel::kWarning},
+    {Event::kFleetStartResolved, "fleet_start_resolved", LogLevel::kInfo},
     {Event::kFleetWorkerListed, "fleet_worker_listed", LogLevel::kInfo},
     {Event::kFleetWorkerUnlisted, "fleet_worker_unlisted", LogLevel::kInfo},
     {Event::kFleetWorkerDraining, "fleet_worker_draining", LogLevel::kInfo},
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -87,6 +87,8 @@
   kFleetRunGone = 6206,
   kFleetEndSuperseded = 6207,
   kFleetTaskGivenUp = 6208,
+  kFleetStartOverdue = 6209,
+  kFleetStartResolved = 6210,
   kFleetWorkerListed = 6301,
   kFleetWorkerUnlisted = 6302,
   kFleetWorkerDraining = 6303,
--- a/testing/fleet_worker_test.cc
+++ b/testing/fleet_worker_test.cc
@@ -195,4 +195,26 @@
              LatestLeaseEndMs(kNowMs, kLeaseMs));
 }
 
+// Guards against a worker whose connections are taken up by starts that it does
+// not answer, and against one that gets no starts ever after.
+BOOST_AUTO_TEST_CASE(a_worker_gets_no_starts_while_one_is_overdue) {
+  auto worker = MakeUsableWorker();
+  PlacedRun run;
+  run.task_ = *TaskId::FromString("00000000000000a1.0.0.0");
+  run.run_ = 1;
+  auto& first = worker.Add(run);
+  run.run_ = 2;
+  auto& second = worker.Add(run);
+  BOOST_TEST(worker.IsUsable(kNowMs));
+  worker.MarkStartOverdue(first, kNowMs);
+  worker.MarkStartOverdue(first, kNowMs + 5);
+  worker.MarkStartOverdue(second, kNowMs);
+  BOOST_TEST(!worker.IsUsable(kNowMs));
+  worker.Remove(first.task_.ToString(), 1);
+  BOOST_TEST(!worker.IsUsable(kNowMs));
+  worker.ClearStartOverdue(second);
+  worker.ClearStartOverdue(second);
+  BOOST_TEST(worker.IsUsable(kNowMs));
+}
+
 }  // namespace lentilscale::fleet
--- a/testing/ownership_walk_stand_in.cc
+++ b/testing/ownership_walk_stand_in.cc
@@ -395,6 +395,11 @@
                   const auto result = carry_out();
                   if (!is_reached() || there_ms + back_ms >= kOrderTimeoutMs) {
                     answer(kOrderTimeoutMs - there_ms, unknown);
+                    if (is_reached()) {
+                      auto late = result;
+                      late.is_late_ = true;
+                      answer(back_ms, late);
+                    }
                   } else {
                     answer(back_ms, result);
                   }
