--- a/fleet/dispatcher_holds.cc
+++ b/fleet/dispatcher_holds.cc
@@ -9,7 +9,8 @@
 // A late answer also proves that the worker answers (HoldCalls), so that its
 // lease is renewed. The runs in progress are taken from answers in time only,
 // as they may have ended since, and so is the incarnation, without which
-// nothing is acknowledged.
+// nothing is acknowledged; but a late list decides starts that were not
+// answered, see dispatcher_starts.cc.
 
 #include <fmt/format.h>
 
@@ -35,6 +36,8 @@
 constexpr Millis kMixedLoadHoldWaitMs = 500;
 // Pause between Hold calls while ends are not durable in the store yet.
 constexpr Millis kUnrecordedHoldPauseMs = 150;
+// The same while a start is overdue, for a list that decides it.
+constexpr Millis kOverdueStartHoldPauseMs = 150;
 // Pause between Hold calls while no lease may be granted yet.
 constexpr Millis kSharedRightsHoldPauseMs = 300;
 // The last answer of a worker that shuts down may come this long after its call
@@ -72,7 +75,9 @@
     hold.clock_life_ = worker.clock_life_;
   }
   order.answer_timeout_ms_ = AnswerTimeoutMsOf(worker);
-  if (!is_first && has_sole_rights_ && worker.unrecorded_ends_.empty()) {
+  // A list decides an overdue start, so it is not delayed.
+  if (!is_first && has_sole_rights_ && worker.unrecorded_ends_.empty() &&
+      worker.overdue_starts_ == 0) {
     order.wait_ms_ =
         worker.filling_runs_ > 0 && worker.serving_runs_ > 0
             ? kMixedLoadHoldWaitMs
@@ -186,6 +191,7 @@
     worker.latest_lease_expiry_ms_ = std::max(
         worker.latest_lease_expiry_ms_, unclaimed->second.lease_expiry_ms_);
   }
+  StopUnlistedStarts(worker, result, now);
   if (result.IsComplete()) {
     RemoveUnlistedRuns(worker, result);
     if (unclaimed_workers_.erase(id) > 0 && unclaimed_workers_.empty()) {
@@ -204,9 +210,10 @@
   // The worker repeats ends until they are acknowledged, so the next Hold call
   // is delayed while ends are not durable.
   worker.next_hold_ms_ =
-      now + (!has_sole_rights_                 ? kSharedRightsHoldPauseMs
-             : worker.unrecorded_ends_.empty() ? 0
-                                               : kUnrecordedHoldPauseMs);
+      now + (!has_sole_rights_                  ? kSharedRightsHoldPauseMs
+             : !worker.unrecorded_ends_.empty() ? kUnrecordedHoldPauseMs
+             : worker.overdue_starts_ > 0       ? kOverdueStartHoldPauseMs
+                                                : 0);
   SendHoldIfDue(worker, now);
   RequestPlacementPass();
 }
@@ -267,6 +274,7 @@
   for (const auto& end : result.ended_) {
     HandleRunEnd(worker, end, now_ms);
   }
+  OnLateRunList(worker, result, now_ms);
   if (new_ends > 0) {
     RequestPlacementPass();
   }
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -44,6 +44,9 @@
   metrics_->Increment(end.end_ == RunEnd::kDone     ? FleetCounter::kEndsDone
                       : end.end_ == RunEnd::kFailed ? FleetCounter::kEndsFailed
                                                     : FleetCounter::kEndsOther);
+  if (auto* run = worker.Find(end.run_.task_, end.run_.run_); run != nullptr) {
+    ResolveOverdueStart(worker, *run, "ended", now_ms);
+  }
   RemoveRun(worker, end.run_.task_, end.run_.run_);
   LogEvent(Event::kFleetRunEnded, {{"task", end.run_.task_},
                                    {"run", std::to_string(end.run_.run_)},
@@ -191,7 +194,9 @@
   auto* step =
       job == nullptr ? nullptr : job->FindStep(id->occurrence_, id->step_);
   if (auto* known = worker.Find(ref.task_, ref.run_); known != nullptr) {
-    known->is_start_unanswered_ = false;
+    if (known->is_start_unanswered_) {
+      OnStartListed(worker, *known, now_ms);
+    }
     if (task != nullptr && !running.checkpoint_.empty() &&
         task->run_ == ref.run_) {
       task->checkpoint_ = running.checkpoint_;
@@ -318,6 +323,10 @@
             {"lapse_in_ms",
              std::to_string(worker.LatestLeaseExpiryMs() - BootMs())}});
   metrics_->Increment(FleetCounter::kRunsGone);
+  if (auto* placed = worker.Find(run.task_.ToString(), run.run_);
+      placed != nullptr) {
+    ResolveOverdueStart(worker, *placed, RunLossName(loss), BootMs());
+  }
   RemoveRun(worker, run.task_.ToString(), run.run_);
   auto* job = FindJob(run.task_.job_);
   auto* task = job == nullptr ? nullptr : job->FindTask(run.task_);
@@ -362,34 +371,37 @@
   LogEvent(Event::kFleetRunStopping, {{"task", ref.task_},
                                       {"run", std::to_string(ref.run_)},
                                       {"worker", worker.entry_.id_}});
-  gateway_->Stop(worker.entry_, ref, claim_.epoch_,
-                 [this, id = worker.entry_.id_, ref,
-                  alive = is_alive_](const OrderResult& result) {
-                   if (!*alive) {
-                     return;
-                   }
-                   const auto it = workers_.find(id);
-                   auto* placed = it == workers_.end()
-                                      ? nullptr
-                                      : it->second.Find(ref.task_, ref.run_);
-                   if (placed == nullptr) {
-                     return;
-                   }
-                   placed->is_stop_sent_ = false;
-                   if (result.status_ == WorkerStatus::kFenced) {
-                     hooks_.step_down_(fmt::format(
-                         "worker {} has seen a higher fencing token", id));
-                     return;
-                   }
-                   if (result.status_ == WorkerStatus::kOk ||
-                       result.status_ == WorkerStatus::kStaleRun) {
-                     // The worker will not start this run any more. A list
-                     // requested after the longest time that a stop takes shows
-                     // whether the run has ended.
-                     placed->order_effective_ms_ =
-                         BootMs() + options_.max_stop_ms_;
-                   }
-                 });
+  gateway_->Stop(
+      worker.entry_, ref, claim_.epoch_,
+      [this, id = worker.entry_.id_, ref, incarnation = worker.incarnation_,
+       alive = is_alive_](const OrderResult& result) {
+        if (!*alive) {
+          return;
+        }
+        const auto it = workers_.find(id);
+        auto* placed = it == workers_.end()
+                           ? nullptr
+                           : it->second.Find(ref.task_, ref.run_);
+        if (placed == nullptr ||
+            (result.is_late_ && incarnation != it->second.incarnation_)) {
+          return;
+        }
+        if (!result.is_late_) {
+          placed->is_stop_sent_ = false;
+        }
+        if (result.status_ == WorkerStatus::kFenced) {
+          hooks_.step_down_(
+              fmt::format("worker {} has seen a higher fencing token", id));
+          return;
+        }
+        if (result.status_ == WorkerStatus::kOk ||
+            result.status_ == WorkerStatus::kStaleRun) {
+          // The worker will not start this run any more. A list
+          // requested after the longest time that a stop takes shows
+          // whether the run has ended.
+          placed->order_effective_ms_ = BootMs() + options_.max_stop_ms_;
+        }
+      });
 }
 
 auto Dispatcher::ThrottleFillingTasks(FleetWorker& worker,
