Use late lists, older clock readings and stops with care

Causes: a lease that late answers renew does not lapse, and runs were taken off the list by answers in time only; a late reading of the clock was stored as if read on arrival; stops were repeated at once where answers take long, and took the connections of late answers.

Change: a late complete list removes runs that it lacks, as it was requested after their orders had taken effect; the estimate of a worker's clock never falls within a life; stops are repeated after twice the answer timeout where that is above its minimum. A pass that was cut off puts overdue steps first in the next one.

No test fails without the change: a case of answers above two seconds is open.

--- a/fleet/dispatcher_holds.cc
+++ b/fleet/dispatcher_holds.cc
@@ -282,6 +282,10 @@
     worker.hold_calls_.OnOtherAnswer(hold.call_);
     return;
   }
+  if (result.IsComplete()) {
+    // A run that had ended when the worker answered has not come back since.
+    RemoveUnlistedRuns(worker, result);
+  }
   UpdateWorkerClock(worker, result.worker_clock_ms_, result.sent_ms_);
   worker.hold_calls_.OnAnswer(hold.call_, now_ms);
   if (result.sent_ms_ >= worker.unlisted_since_ms_) {
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -123,6 +123,7 @@
   services_.clear();
   last_pass_ms_ = static_cast<double>(uv_hrtime() - start_ns) / kNsPerMs;
   if (starts_in_pass_ >= kMaxStartsPerPass) {
+    is_start_held_back_ = true;
     last_pass_ms_ = 0;
     RequestPlacementPass();
   }
--- a/fleet/dispatcher_sessions.cc
+++ b/fleet/dispatcher_sessions.cc
@@ -366,7 +366,11 @@
 auto Dispatcher::SendStop(FleetWorker& worker, PlacedRun& run, Millis now_ms)
     -> void {
   run.is_stop_sent_ = true;
-  run.next_stop_ms_ = now_ms + kStopRetryMs;
+  // Where answers take long, a stop that is repeated at once only takes another
+  // connection from the calls whose answers are on their way.
+  const auto answer_ms = AnswerTimeoutMsOf(worker);
+  run.next_stop_ms_ =
+      now_ms + (answer_ms > kMinAnswerTimeoutMs ? 2 * answer_ms : kStopRetryMs);
   const RunRef ref{run.task_.ToString(), run.run_};
   LogEvent(Event::kFleetRunStopping, {{"task", ref.task_},
                                       {"run", std::to_string(ref.run_)},
--- a/fleet/fleet_worker.cc
+++ b/fleet/fleet_worker.cc
@@ -75,7 +75,11 @@
     restart_proved_ms_ = now_ms;
     return true;
   }
-  worker_clock_ms_ = worker_clock_ms;
+  // The reading in a late answer may be older than what the last one allows to
+  // conclude.
+  worker_clock_ms_ = clock_updated_ms_ == 0
+                         ? worker_clock_ms
+                         : std::max(worker_clock_ms, MinWorkerClockMs(now_ms));
   clock_updated_ms_ = now_ms;
   return false;
 }
