Log what holds starts back

Callers saw too little served on the large site; the logs could not tell whether the start window, the bound of one pass or the link keeps the rate down.

Change: event 6108, at most one line a second while starts are held back: window, awaited starts, mean answer time, and how many passes each bound has ended.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -476,6 +476,10 @@
   auto CheckQueueServicesKnown() -> void;
 
   // dispatcher_placement.cc
+  // Starts in one pass. The rest follows in the loop's next turn: a turn that
+  // sends thousands of orders reads no answers meanwhile, and the renewal of
+  // the owner's own lease comes too late.
+  static constexpr int kMaxStartsPerPass = 64;
   auto RequestPlacementPass() -> void;
   auto RunPlacementPass() -> void;
   // A waiting step with the fields that decide its turn in a placement pass.
@@ -590,6 +594,8 @@
   // configuration has had it.
   auto ExplainWait(const StepRun& step, const Queue* queue,
                    const WorkerCounts& counts) const -> WaitReason;
+  // Notes that the pass held starts back, and logs what did so lately.
+  auto ReportHeldBackStarts(Millis now_ms) -> void;
   // Logs the steps that have waited for long while nothing of them runs.
   auto ReportStalledSteps(Millis now_ms) -> void;
 
@@ -649,6 +655,17 @@
   bool is_start_held_back_ = false;
   // Starts that the current placement pass has sent.
   int starts_in_pass_ = 0;
+  // What held starts back since the last report of it.
+  struct HeldBackStarts {
+    Millis next_report_ms_ = 0;
+    int starts_ = 0;
+    int passes_at_window_ = 0;
+    int passes_at_bound_ = 0;
+    // Answers to starts, and the time that they took in all.
+    int answers_ = 0;
+    Millis answers_ms_ = 0;
+  };
+  HeldBackStarts held_back_starts_;
   // Duration of the last placement pass.
   double last_pass_ms_ = 0;
   // The configuration from which known_queues_ was last updated.
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -30,10 +30,6 @@
 // many steps wait.
 constexpr double kPassPauseFactor = 2;
 constexpr Millis kMaxPassPauseMs = 100;
-// Starts in one pass. The rest follows in the loop's next turn: a turn that
-// sends thousands of orders reads no answers meanwhile, and the renewal of the
-// owner's own lease comes too late.
-constexpr int kMaxStartsPerPass = 64;
 // A ticket is not used this close to its expiry, as the start order still has
 // to reach the worker.
 constexpr Millis kTicketMarginMs = 120;
@@ -122,6 +118,7 @@
   RequestPendingAdvice(now);
   services_.clear();
   last_pass_ms_ = static_cast<double>(uv_hrtime() - start_ns) / kNsPerMs;
+  ReportHeldBackStarts(now);
   if (starts_in_pass_ >= kMaxStartsPerPass) {
     is_start_held_back_ = true;
     last_pass_ms_ = 0;
--- a/fleet/dispatcher_stalls.cc
+++ b/fleet/dispatcher_stalls.cc
@@ -1,4 +1,5 @@
-// Reports steps that have waited for long although nothing of them runs.
+// Reports steps that have waited for long although nothing of them runs, and
+// what holds starts back.
 //
 // The reason is worked out only for reports, because placement stops at the
 // first condition that is not met and keeps no record of it. A bound on the
@@ -17,6 +18,7 @@
 constexpr Millis kStallThresholdMs = 2500;
 constexpr std::size_t kMaxExaminedSteps = 32;
 constexpr std::size_t kMaxReportedSteps = 4;
+constexpr Millis kHeldBackReportIntervalMs = 1000;
 
 // Returns true for the reasons that a full fleet or a full team explains.
 auto IsExpectedUnderLoad(WaitReason reason) -> bool {
@@ -118,6 +120,29 @@
   return FindWaitReason(counts, step.open_advice_calls_ > 0);
 }
 
+auto Dispatcher::ReportHeldBackStarts(Millis now_ms) -> void {
+  auto& stats = held_back_starts_;
+  stats.starts_ += starts_in_pass_;
+  if (!is_start_held_back_ && starts_in_pass_ < kMaxStartsPerPass) {
+    return;
+  }
+  ++(starts_in_pass_ < kMaxStartsPerPass ? stats.passes_at_window_
+                                         : stats.passes_at_bound_);
+  if (now_ms < stats.next_report_ms_) {
+    return;
+  }
+  LogEvent(Event::kFleetStartsHeldBack,
+           {{"window", std::to_string(start_window_.limit())},
+            {"awaited", std::to_string(start_window_.awaited())},
+            {"starts", std::to_string(stats.starts_)},
+            {"answer_ms",
+             std::to_string(stats.answers_ms_ / std::max(1, stats.answers_))},
+            {"passes_at_window", std::to_string(stats.passes_at_window_)},
+            {"passes_at_bound", std::to_string(stats.passes_at_bound_)},
+            {"waiting_steps", std::to_string(waiting_.size())}});
+  stats = {now_ms + kHeldBackReportIntervalMs};
+}
+
 auto Dispatcher::ReportStalledSteps(Millis now_ms) -> void {
   if (now_ms < next_stall_check_ms_) {
     return;
--- a/fleet/dispatcher_starts.cc
+++ b/fleet/dispatcher_starts.cc
@@ -98,8 +98,11 @@
 
 auto Dispatcher::OnStartAnswered(Millis sent_ms, const OrderResult& result)
     -> void {
-  start_window_.OnAnswer(sent_ms, BootMs(),
+  const auto now = BootMs();
+  start_window_.OnAnswer(sent_ms, now,
                          result.status_ != WorkerStatus::kUnknown);
+  ++held_back_starts_.answers_;
+  held_back_starts_.answers_ms_ += now - sent_ms;
   if (is_start_held_back_) {
     RequestPlacementPass();
   }
--- a/lentilscale/log.h
+++ b/lentilscale/log.h
@@ -82,6 +82,7 @@
   kFleetJobEnded = 6105,
   kFleetAdvice = 6106,
   kFleetStepStalled = 6107,
+  kFleetStartsHeldBack = 6108,
   kFleetRunStarting = 6201,
   kFleetStartFailed = 6202,
   kFleetRunEnded = 6203,
