Let overdue steps ask for tickets whatever their class waits for

Such a step starts before those of all classes, so the bound on its class's calls for advice must not hold it back.

Change: MayRequestAdvice is not asked for steps that are overdue. No test of its own; load_world and start_shares pass as before.

--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -68,7 +68,12 @@
     -> void {
   auto& step = *pending.step_;
   const auto& queue = *pending.queue_;
-  if (step.open_advice_calls_ > 0 || now_ms < step.next_advice_call_ms_ ||
+  if (step.open_advice_calls_ > 0 || now_ms < step.next_advice_call_ms_) {
+    return;
+  }
+  // An overdue step starts before those of all classes, so it needs its tickets
+  // whatever its class waits for.
+  if (!step.IsOverdue(now_ms) &&
       !start_shares_.MayRequestAdvice(*pending.class_, start_window_.limit(),
                                       queue.advice_->valid_ms_)) {
     return;
