Bound the steps that a pass looks at while starts are held back

Callers could see, on a large site with a long backlog: starts per second fall as the backlog grows, so that it lasts.

Cause: since each class is looked at in each pass, a pass visits all steps that wait for tickets or for room, and a pass that has sent 64 starts is followed by the next one without a pause. The cost of 64 starts grew with the backlog.

Change: while starts are held back, a pass looks at 64 steps of each class that cannot start, and the next pass goes on with the others. A step that was answered by the advice service is looked at at once.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -500,7 +500,7 @@
   };
   auto OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep>;
   // Visits the steps that have not been visited, of each class up to the first
-  // one that is held back.
+  // one that is held back, and no more than its looks allow.
   auto VisitSteps(std::vector<WaitingStep>& steps, Millis now_ms) -> void;
   // Starts what it can of the step, or requests advice for it.
   auto VisitStep(WaitingStep& waiting, Millis now_ms) -> void;
--- a/fleet/dispatcher_advice.cc
+++ b/fleet/dispatcher_advice.cc
@@ -222,6 +222,7 @@
   if (step == nullptr) {
     return;
   }
+  step->look_round_ = 0;
   const auto now = BootMs();
   if (--step->open_advice_calls_ == 0) {
     ++step->advice_rounds_;
--- a/fleet/dispatcher_pass.cc
+++ b/fleet/dispatcher_pass.cc
@@ -9,9 +9,12 @@
 // The first step that is held back closes its class, so that those behind it do
 // neither take the room for which it waits nor ask for tickets that they cannot
 // use yet. Other classes are looked at all the same: they may have workers of
-// their own, and a call for advice takes longer than a turn.
+// their own, and a call for advice takes longer than a turn. Of those steps
+// that cannot start, each turn looks at some, until each has been looked at
+// once and a new round begins.
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "fleet/dispatcher.h"
@@ -30,6 +33,11 @@
 // then its class has a share of the starts. Tasks that last have no objective,
 // and no time to lose.
 constexpr double kPatientObjectiveShare = 0.1;
+// Steps of each class that cannot start and that a pass looks at while starts
+// are held back. The passes then follow each other without a pause, so that
+// their cost must not grow with the backlog.
+constexpr int kMaxLooksPerPass = 64;
+constexpr int kAllSteps = std::numeric_limits<int>::max();
 constexpr double kNsPerMs = 1e6;
 
 // Calls `visit` for each resource with its amount in `into` and in `from`.
@@ -71,6 +79,7 @@
   SummarizeServices(now);
   auto steps = OrderWaitingSteps(now);
   start_shares_.BeginPass(std::min(kMaxStartsPerPass, start_window_.room()),
+                          is_start_held_back_ ? kMaxLooksPerPass : kAllSteps,
                           now);
   VisitSteps(steps, now);
   if (start_shares_.HasRoom()) {
@@ -115,9 +124,21 @@
 auto Dispatcher::VisitSteps(std::vector<WaitingStep>& steps, Millis now_ms)
     -> void {
   for (auto& waiting : steps) {
-    if (!waiting.is_visited_ && !waiting.class_->is_held_back_) {
-      waiting.is_visited_ = true;
-      VisitStep(waiting, now_ms);
+    auto& start_class = *waiting.class_;
+    if (waiting.is_visited_ || start_class.is_held_back_ ||
+        waiting.step_->look_round_ == start_class.look_round_) {
+      continue;
+    }
+    if (start_class.looks_left_ == 0) {
+      start_class.is_look_due_ = true;
+      continue;
+    }
+    const auto sent = start_shares_.sent();
+    waiting.is_visited_ = true;
+    VisitStep(waiting, now_ms);
+    if (waiting.is_visited_ && start_shares_.sent() == sent) {
+      waiting.step_->look_round_ = start_class.look_round_;
+      --start_class.looks_left_;
     }
   }
 }
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -121,6 +121,9 @@
 
   // "JOB.OCCURRENCE.STEP".
   std::string name_;
+  // Round of its class in which it was last looked at and could not start, see
+  // dispatcher_pass.cc; 0 if it has to be looked at.
+  std::int64_t look_round_ = 0;
   // The queue's priority when the step was first ordered among the waiting
   // ones. Later configuration changes do not reorder the step.
   std::optional<int> priority_;
--- a/fleet/start_shares.cc
+++ b/fleet/start_shares.cc
@@ -42,7 +42,7 @@
   return std::max(last_per_s_, static_cast<double>(current_));
 }
 
-auto StartShares::BeginPass(int budget, Millis now_ms) -> void {
+auto StartShares::BeginPass(int budget, int looks, Millis now_ms) -> void {
   budget_ = budget;
   sent_ = 0;
   is_rest_released_ = false;
@@ -50,6 +50,9 @@
   rate_.Update(now_ms);
   for (auto& [key, start_class] : classes_) {
     start_class.rate_.Update(now_ms);
+    start_class.look_round_ += start_class.is_look_due_ ? 0 : 1;
+    start_class.is_look_due_ = false;
+    start_class.looks_left_ = looks;
   }
   UpdateShares();
 }
--- a/fleet/start_shares.h
+++ b/fleet/start_shares.h
@@ -10,7 +10,7 @@
 // shares at all times, a short burst of urgent work would wait for work that
 // has time.
 //
-//   shares.BeginPass(64, now);
+//   shares.BeginPass(64, 64, now);
 //   for (...) {  // all steps, in order of priority
 //     if (shares.MayStart(start_class)) {
 //       Start(...);
@@ -36,6 +36,7 @@
 #ifndef LENTILSCALE_FLEET_START_SHARES_H_
 #define LENTILSCALE_FLEET_START_SHARES_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -58,7 +59,7 @@
   double last_per_s_ = 0;
 };
 
-// One class; its fields are set by StartShares, but for the last one.
+// One class; its fields are set by StartShares, but for the last ones.
 struct StartClass {
   // Starts that the class has earned; negative if it owes some.
   double credit_ = 0;
@@ -73,7 +74,14 @@
   // When a step was last held back; 0 if none was.
   Millis held_back_ms_ = 0;
   StartRate rate_ = {};
-  // Tasks for which calls for advice are open, kept by the caller.
+  // Number of the round in which each step that cannot start is looked at once;
+  // the next one begins when none was left in a pass.
+  std::int64_t look_round_ = 1;
+  // Kept by the caller: how many of these steps the pass may still look at,
+  // whether some are left for the next, and for how many tasks calls for advice
+  // are open.
+  int looks_left_ = 0;
+  bool is_look_due_ = false;
   int awaiting_advice_ = 0;
 };
 
@@ -84,8 +92,9 @@
     return classes_[{service, priority}];
   }
 
-  // Begins a pass in which up to `budget` starts are sent.
-  auto BeginPass(int budget, Millis now_ms) -> void;
+  // Begins a pass in which up to `budget` starts are sent, and `looks` steps of
+  // each class that cannot start are looked at.
+  auto BeginPass(int budget, int looks, Millis now_ms) -> void;
   // Returns true if the pass has room for a start of any class.
   auto HasRoom() const -> bool { return sent_ < budget_; }
   // Returns true if the class has earned a start, whatever others wait for.
--- a/testing/start_shares_test.cc
+++ b/testing/start_shares_test.cc
@@ -33,7 +33,7 @@
     }
   };
   for (auto pass = 0; pass < passes; ++pass) {
-    shares.BeginPass(budget, 1 + pass);
+    shares.BeginPass(budget, 1, 1 + pass);
     visit();
     shares.ReleaseRest();
     visit();
@@ -90,7 +90,7 @@
   other.awaiting_advice_ = 700;
   BOOST_TEST(!shares.MayRequestAdvice(other, 16, 2000));
   // Nothing has been held back for a while.
-  shares.BeginPass(64, 3000);
+  shares.BeginPass(64, 1, 3000);
   BOOST_TEST(shares.MayRequestAdvice(other, 16, 2000));
 }
 
