Refuse jobs that would be late only because too much work waits

Cause: nothing bounded what is accepted. What the owner can't start in time waited until it was lost, and made all that came after it wait longer.

Evidence: overload_admission_test on the unchanged code, both cases fail: with 4,000 tasks waiting, answers to starts that take 300 ms and an objective of 20 s, each of 60 new jobs is accepted at the first instance.

Change: after a placement pass the owner counts, at most every 100 ms, the tasks that a new job of each class would wait for, and divides them by the starts a second that it sends while it holds some back. The waits go out in its answers to reports; each instance compares them with the job's slack and refuses a share that rises with the wait, with 503 and Retry-After, before anything is stored. A job that the store has already gets 200. Jobs that last or have due times, classes with room, and all jobs while the owner is being replaced or hasn't answered for 1.5 s are admitted.

Measured: both cases pass; no start of a refused job; new jobs are accepted again once the backlog is cancelled.

--- /dev/null
+++ b/fleet/class_backlog.cc
@@ -0,0 +1,39 @@
+// Little's law over a sliding window: the tasks ahead divided by the rate at
+// which they are started.
+
+#include "fleet/class_backlog.h"
+
+#include <algorithm>
+
+namespace lentilscale::fleet {
+namespace {
+
+// The rate is that of the last window, and unknown before starts have been held
+// back for the shortest one.
+constexpr Millis kRateWindowMs = 2000;
+constexpr Millis kMinRateWindowMs = 500;
+constexpr Millis kMaxWaitMs = 60000;
+
+}  // namespace
+
+auto ClassBacklog::Update(const Sample& sample, Millis now_ms) -> void {
+  wait_ms_ = 0;
+  if (!sample.is_held_back_) {
+    counts_.clear();
+    return;
+  }
+  counts_.push_back({now_ms, sample.started_});
+  // The oldest count is as old as the window or, at first, younger.
+  while (counts_.size() > 1 && now_ms - counts_[1].at_ms_ >= kRateWindowMs) {
+    counts_.pop_front();
+  }
+  const auto window_ms = now_ms - counts_.front().at_ms_;
+  if (window_ms < kMinRateWindowMs) {
+    return;
+  }
+  const auto started =
+      std::max<std::int64_t>(1, sample.started_ - counts_.front().started_);
+  wait_ms_ = std::min(kMaxWaitMs, sample.tasks_ahead_ * window_ms / started);
+}
+
+}  // namespace lentilscale::fleet
--- /dev/null
+++ b/fleet/class_backlog.h
@@ -0,0 +1,49 @@
+// How long new work of one class of steps (start_shares.h) would wait because
+// the owner sends no more starts for now.
+//
+//   // After a placement pass:
+//   backlog.Update({is_held_back, starts_so_far, tasks_ahead}, BootMs());
+//   backlog.WaitMs();  // 0 unless starts have been held back for a while
+//
+// The rate at which the owner starts tasks of the class is measured only while
+// it holds some back: otherwise it says how much work there is, and not how
+// much the owner can send. So a short burst has no expected wait yet.
+
+#ifndef LENTILSCALE_FLEET_CLASS_BACKLOG_H_
+#define LENTILSCALE_FLEET_CLASS_BACKLOG_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "lentilscale/clock.h"
+
+namespace lentilscale::fleet {
+
+class ClassBacklog {
+ public:
+  struct Sample {
+    // True if starts of the class are held back.
+    bool is_held_back_ = false;
+    // Tasks of the class that have been started so far.
+    std::int64_t started_ = 0;
+    // Tasks that wait and would be started before those of a new job.
+    std::int64_t tasks_ahead_ = 0;
+  };
+
+  auto Update(const Sample& sample, Millis now_ms) -> void;
+  // Returns the expected wait as of the last update.
+  auto WaitMs() const -> Millis { return wait_ms_; }
+
+ private:
+  struct Count {
+    Millis at_ms_;
+    std::int64_t started_;
+  };
+  // Since starts have been held back, at most for the last kRateWindowMs.
+  std::deque<Count> counts_;
+  Millis wait_ms_ = 0;
+};
+
+}  // namespace lentilscale::fleet
+
+#endif  // LENTILSCALE_FLEET_CLASS_BACKLOG_H_
--- a/fleet/client_api.cc
+++ b/fleet/client_api.cc
@@ -4,6 +4,9 @@
 // A write without an answer may still be carried out later, so it is retried
 // until the store answers. If it does not answer in time, the client gets 504:
 // the outcome is unknown. 503 would say that the job was not accepted.
+//
+// So a job that is refused for load is looked up first: an earlier submission
+// may have stored it. One read costs the store less than the write would.
 
 #include "fleet/client_api.h"
 
@@ -11,6 +14,7 @@
 
 #include <algorithm>
 
+#include "fleet/job.h"
 #include "fleet/store_keys.h"
 #include "lentilscale/log.h"
 #include "lentilscale/timer.h"
@@ -41,13 +45,14 @@
 ClientApi::ClientApi(uv_loop_t* loop, RecordStore* store,
                      const ConfigWatcher* config, ClientApiCodec codec,
                      OwnerClient owner, Millis max_config_age_ms,
-                     FleetMetrics* metrics)
+                     Admission* admission, FleetMetrics* metrics)
     : loop_(loop),
       store_(store),
       config_(config),
       codec_(std::move(codec)),
       owner_(std::move(owner)),
       max_config_age_ms_(max_config_age_ms),
+      admission_(admission),
       metrics_(metrics) {}
 
 auto ClientApi::IsReady() const -> bool {
@@ -55,18 +60,21 @@
 }
 
 auto ClientApi::Refuse(const Reply& reply, int status, const std::string& id,
-                       const std::string& reason) -> void {
+                       const std::string& reason,
+                       std::optional<int> retry_after_s) -> void {
   metrics_->Increment(FleetCounter::kRequestsRefused);
   const auto is_temporary = status == 503 || status == 429;
-  const auto retry_after_s = is_temporary ? RetryAfterS() : 0;
+  const auto retry_s = is_temporary && !retry_after_s.has_value()
+                           ? RetryAfterS()
+                           : retry_after_s.value_or(0);
   LogEvent(Event::kFleetRequestRefused,
            {{"id", id},
             {"status", std::to_string(status)},
             {"reason", reason},
-            {"retry_after_s", std::to_string(retry_after_s)},
+            {"retry_after_s", std::to_string(retry_s)},
             {"configuration_age_ms", std::to_string(config_->AgeMs())}});
   if (is_temporary) {
-    reply->SendRetryLater(status, codec_.encode_error_(reason), retry_after_s);
+    reply->SendRetryLater(status, codec_.encode_error_(reason), retry_s);
   } else {
     reply->Send(status, codec_.encode_error_(reason));
   }
@@ -137,7 +145,39 @@
   job->queue_ = target.queue_->name_;
   job->team_ = target.team_;
   job->accepted_ms_ = WallMs();
-  CommitJob(*job, BootMs() + kCommitTimeoutMs, false, std::move(reply));
+  const auto deadline_ms = BootMs() + kCommitTimeoutMs;
+  if (const auto retry_after_s = RefuseForLoad(*job, *target.queue_)) {
+    RefuseUnlessStored(*job, *retry_after_s, deadline_ms, std::move(reply));
+  } else {
+    CommitJob(*job, deadline_ms, false, std::move(reply));
+  }
+}
+
+auto ClientApi::RefuseForLoad(const JobRecord& job, const Queue& queue)
+    -> std::optional<int> {
+  const auto wait_ms = admission_->WaitMs(queue.name_, BootMs());
+  if (wait_ms == 0 || job.repeat_count_ > 0) {
+    return std::nullopt;
+  }
+  const auto slack_ms = Job(job, ProgressRecord(), false).SlackMs(queue);
+  return slack_ms.has_value() ? admission_->RefuseFor(wait_ms, *slack_ms)
+                              : std::nullopt;
+}
+
+auto ClientApi::RefuseUnlessStored(const JobRecord& job, int retry_after_s,
+                                   Millis deadline_ms, Reply reply) -> void {
+  store_->Read(JobKey(job.id_), [this, job, retry_after_s, deadline_ms,
+                                 reply](const ReadResult& result) {
+    if (result.status_ == StoreStatus::kOk) {
+      reply->Send(200, "{}");
+    } else if (result.status_ == StoreStatus::kAbsent) {
+      metrics_->Increment(FleetCounter::kRequestsRefusedForLoad);
+      Refuse(reply, 503, job.id_, "the queue's work can't start in time",
+             retry_after_s);
+    } else {
+      CommitJob(job, deadline_ms, false, reply);
+    }
+  });
 }
 
 auto ClientApi::IsStoreUnresponsive() const -> bool {
--- a/fleet/client_api.h
+++ b/fleet/client_api.h
@@ -7,6 +7,10 @@
 // Job states come from the owner, or from the store if the owner does not know
 // the job or does not answer.
 //
+// While much work waits for its start, new jobs that could not be on time are
+// refused (admission.h): nothing of them is stored, so they never run. A job
+// that was accepted before is not affected.
+//
 // Requests are served only while the configuration is known to be recent, so
 // that a revoked key also stops working on an instance that is partitioned from
 // the store.
@@ -22,6 +26,7 @@
 #include <optional>
 #include <string>
 
+#include "fleet/admission.h"
 #include "fleet/config_watcher.h"
 #include "fleet/fleet_metrics.h"
 #include "fleet/job_record.h"
@@ -59,7 +64,7 @@
  public:
   ClientApi(uv_loop_t* loop, RecordStore* store, const ConfigWatcher* config,
             ClientApiCodec codec, OwnerClient owner, Millis max_config_age_ms,
-            FleetMetrics* metrics);
+            Admission* admission, FleetMetrics* metrics);
   ~ClientApi() { *is_alive_ = false; }
   ClientApi(const ClientApi&) = delete;
   auto operator=(const ClientApi&) -> ClientApi& = delete;
@@ -83,6 +88,13 @@
 
   auto SubmitJob(const HttpRequest& request, const RequestTarget& target,
                  Reply reply) -> void;
+  // Returns nullopt if the job is admitted, else the number of seconds after
+  // which it should be submitted again.
+  auto RefuseForLoad(const JobRecord& job, const Queue& queue)
+      -> std::optional<int>;
+  // Refuses the job, unless the store has it from an earlier submission.
+  auto RefuseUnlessStored(const JobRecord& job, int retry_after_s,
+                          Millis deadline_ms, Reply reply) -> void;
   // Stores `job`, retrying until `deadline_ms` while the outcome is unknown.
   // `may_be_stored` is true if an earlier attempt may have stored it.
   auto CommitJob(const JobRecord& job, Millis deadline_ms, bool may_be_stored,
@@ -99,8 +111,10 @@
   auto IsStoreUnresponsive() const -> bool;
   // Returns the number of seconds after which a refused client should retry.
   auto RetryAfterS() const -> int;
+  // `retry_after_s` replaces what RetryAfterS returns.
   auto Refuse(const Reply& reply, int status, const std::string& id,
-              const std::string& reason) -> void;
+              const std::string& reason,
+              std::optional<int> retry_after_s = std::nullopt) -> void;
 
   uv_loop_t* loop_;
   RecordStore* store_;
@@ -108,6 +122,7 @@
   ClientApiCodec codec_;
   OwnerClient owner_;
   Millis max_config_age_ms_;
+  Admission* admission_;
   FleetMetrics* metrics_;
   // When the first failed write since the last success was sent; 0 if none.
   Millis first_failed_write_ms_ = 0;
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -18,6 +18,7 @@
 //   dispatcher_crashes.cc    crashes of workers and the tasks suspected of them
 //   dispatcher_queues.cc     services whose workers may run a queue's tasks
 //   dispatcher_pass.cc       placement passes: whose turn it is
+//   dispatcher_backlog.cc    how long new jobs would wait for their starts
 //   dispatcher_placement.cc  placement of tasks on workers
 //   dispatcher_starts.cc     start orders and their answers
 //   dispatcher_advice.cc     calls to the advice service and their tickets
@@ -44,6 +45,7 @@
 #include "fleet/advice_balancer.h"
 #include "fleet/advice_plan.h"
 #include "fleet/answer_time.h"
+#include "fleet/class_backlog.h"
 #include "fleet/crash_detector.h"
 #include "fleet/fleet_config.h"
 #include "fleet/fleet_metrics.h"
@@ -135,6 +137,10 @@
   // nothing while the jobs are still being read.
   auto CountQueuedJobs(const std::string& queue) const
       -> std::optional<std::int64_t>;
+  // Returns, by queue, how long a new job is expected to wait because the owner
+  // sends no more starts for now. Queues without such a wait are left out, and
+  // all are while workers of a previous owner are unclaimed.
+  auto ExpectedWaits() const -> std::map<std::string, Millis>;
 
   // Returns, for each worker on which runs may be active, when the leases there
   // will have expired (BootMs) if this dispatcher grants no more. The caller
@@ -513,6 +519,16 @@
   auto HoldBack(WaitingStep& waiting, Millis now_ms) -> void;
   auto SummarizeServices(Millis now_ms) -> void;
 
+  // dispatcher_backlog.cc
+  // Returns the class in which steps of a new job of the queue wait.
+  auto ClassOfNewJobs(const Queue& queue) -> StartClass&;
+  // Returns how many tasks of each class would be started before a new job's.
+  auto CountTasksAhead(const std::vector<WaitingStep>& steps)
+      -> std::map<const StartClass*, std::int64_t>;
+  // Updates the expected waits at the end of a placement pass, now and then.
+  auto MeasureBacklog(const std::vector<WaitingStep>& steps, Millis now_ms)
+      -> void;
+
   // dispatcher_placement.cc
   // Returns true if the step has waited too long to heed that workers are
   // exclusive to other steps.
@@ -671,6 +687,10 @@
   std::map<std::string, ServiceSummary> services_;
   StartWindow start_window_;
   StartShares start_shares_;
+  std::map<const StartClass*, ClassBacklog> class_backlogs_;
+  // By queue, as counted last.
+  std::map<std::string, Millis> expected_waits_;
+  Millis backlog_counted_ms_ = 0;
   // True if the last placement pass held back steps that could have started.
   bool is_start_held_back_ = false;
   // What held starts back since the last report of it.
--- /dev/null
+++ b/fleet/dispatcher_backlog.cc
@@ -0,0 +1,109 @@
+// How long a new job of each queue would wait for its starts.
+//
+// Ahead of it are the tasks of its class that wait and can still be on time:
+// those of late jobs yield to it. Tasks that wait for something else, for room
+// on a worker or for their team's limit, delay nobody, and are not counted. The
+// count is made as part of a placement pass, which knows both.
+
+#include <algorithm>
+
+#include "fleet/dispatcher.h"
+
+namespace lentilscale::fleet {
+namespace {
+
+// Interval between the counts; each takes time in proportion to the waiting
+// steps.
+constexpr Millis kBacklogIntervalMs = 100;
+// Starts of a class count as held back for this long after the last one was.
+constexpr Millis kHeldBackMemoryMs = 300;
+// Age at which the last count says nothing any more.
+constexpr Millis kMaxBacklogAgeMs = 1000;
+
+// Returns how many of the tasks, up to `count`, fit beside `used`. A limit of 0
+// is none.
+auto CountWithinLimit(const Resources& used, const Resources& demand,
+                      const Resources& limit, int count) -> int {
+  const auto fit = [&](std::int64_t in_use, std::int64_t each,
+                       std::int64_t most) {
+    return most == 0 || each == 0
+               ? std::int64_t{count}
+               : std::max<std::int64_t>(0, most - in_use) / each;
+  };
+  return static_cast<int>(std::min(
+      {std::int64_t{count},
+       fit(used.cpu_milli_, demand.cpu_milli_, limit.cpu_milli_),
+       fit(used.memory_mb_, demand.memory_mb_, limit.memory_mb_),
+       fit(used.accelerators_, demand.accelerators_, limit.accelerators_)}));
+}
+
+}  // namespace
+
+auto Dispatcher::ClassOfNewJobs(const Queue& queue) -> StartClass& {
+  return start_shares_.ClassOf(queue.service_, queue.priority_);
+}
+
+auto Dispatcher::CountTasksAhead(const std::vector<WaitingStep>& steps)
+    -> std::map<const StartClass*, std::int64_t> {
+  std::map<const StartClass*, std::int64_t> tasks_ahead;
+  // What the teams' running tasks and those counted so far take.
+  auto used = team_usage_;
+  for (const auto& waiting : steps) {
+    const auto& step = *waiting.step_;
+    if (waiting.is_yielding_ || IsInfeasible(step, *waiting.queue_)) {
+      continue;
+    }
+    const auto& demand = step.step_->demand_;
+    const auto* team = last_config_ == nullptr
+                           ? nullptr
+                           : last_config_->FindTeam(step.job_->record().team_);
+    auto count = step.waiting_count_;
+    if (team != nullptr && team->limit_ != Resources{}) {
+      auto& used_by_team = used[team->name_];
+      count = CountWithinLimit(used_by_team, demand, team->limit_, count);
+      for (auto i = 0; i < count; ++i) {
+        used_by_team += demand;
+      }
+    }
+    tasks_ahead[waiting.class_] += count;
+  }
+  return tasks_ahead;
+}
+
+auto Dispatcher::MeasureBacklog(const std::vector<WaitingStep>& steps,
+                                Millis now_ms) -> void {
+  if (now_ms - backlog_counted_ms_ < kBacklogIntervalMs) {
+    return;
+  }
+  backlog_counted_ms_ = now_ms;
+  expected_waits_.clear();
+  // What is known of the fleet is incomplete.
+  if (last_config_ == nullptr || !unclaimed_workers_.empty()) {
+    class_backlogs_.clear();
+    return;
+  }
+  auto tasks_ahead = CountTasksAhead(steps);
+  for (const auto& queue : last_config_->queues_) {
+    tasks_ahead.try_emplace(&ClassOfNewJobs(queue), 0);
+  }
+  for (const auto& [start_class, count] : tasks_ahead) {
+    const auto is_held_back =
+        now_ms - start_class->held_back_ms_ <= kHeldBackMemoryMs;
+    class_backlogs_[start_class].Update(
+        {is_held_back, start_class->started_, count}, now_ms);
+  }
+  for (const auto& queue : last_config_->queues_) {
+    if (const auto wait_ms = class_backlogs_[&ClassOfNewJobs(queue)].WaitMs();
+        wait_ms > 0) {
+      expected_waits_[queue.name_] = wait_ms;
+    }
+  }
+}
+
+auto Dispatcher::ExpectedWaits() const -> std::map<std::string, Millis> {
+  const auto is_known =
+      !waiting_.empty() && BootMs() - backlog_counted_ms_ <= kMaxBacklogAgeMs;
+  return is_known ? expected_waits_ : std::map<std::string, Millis>();
+}
+
+}  // namespace lentilscale::fleet
--- a/fleet/dispatcher_pass.cc
+++ b/fleet/dispatcher_pass.cc
@@ -87,6 +87,7 @@
     VisitSteps(steps, now);
   }
   is_start_held_back_ = start_shares_.EndPass();
+  MeasureBacklog(steps, now);
   RequestPendingAdvice(now);
   services_.clear();
   last_pass_ms_ = static_cast<double>(uv_hrtime() - start_ns) / kNsPerMs;
--- a/fleet/fleet_metrics.cc
+++ b/fleet/fleet_metrics.cc
@@ -16,10 +16,10 @@
 namespace bh = boost::histogram;
 
 constexpr auto kCounterNames = std::to_array<std::string_view>(
-    {"requests_refused", "jobs_accepted", "jobs_ended", "starts",
-     "starts_failed", "starts_overdue", "ends_done", "ends_failed",
-     "ends_other", "runs_gone", "advice_calls", "take_overs", "workers_silent",
-     "stalls_reported", "workers_crashed", "tasks_given_up"});
+    {"requests_refused", "requests_refused_for_load", "jobs_accepted",
+     "jobs_ended", "starts", "starts_failed", "starts_overdue", "ends_done",
+     "ends_failed", "ends_other", "runs_gone", "advice_calls", "take_overs",
+     "workers_silent", "stalls_reported", "workers_crashed", "tasks_given_up"});
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(FleetCounter::kCount));
 
--- a/fleet/fleet_metrics.h
+++ b/fleet/fleet_metrics.h
@@ -20,6 +20,8 @@
 // Events counted since the start of the process.
 enum class FleetCounter {
   kRequestsRefused,
+  // Of these, submissions for which too much work waits.
+  kRequestsRefusedForLoad,
   kJobsAccepted,
   kJobsEnded,
   kStarts,
--- a/fleet/fleet_node.cc
+++ b/fleet/fleet_node.cc
@@ -12,6 +12,7 @@
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
 #include "lentilscale/log.h"
+#include "lentilscale/shard_map.h"
 
 namespace lentilscale::fleet {
 namespace {
@@ -70,6 +71,7 @@
                  AdviceGateway::Callback callback) {
             peer_client_.RequestAdvice(address, request, std::move(callback));
           }),
+      admission_(StableHash(options.instance_name_)),
       loop_monitor_(loop),
       config_poller_(dependencies.http_client_),
       config_feed_(loop),
@@ -89,7 +91,7 @@
   node->client_api_ = std::make_unique<ClientApi>(
       loop, dependencies.store_, node->config_watcher_.get(),
       dependencies.client_api_codec_, node->MakeOwnerClient(),
-      options.max_config_age_ms_, &node->metrics_);
+      options.max_config_age_ms_, &node->admission_, &node->metrics_);
   const auto status = node->Listen();
   if (!status.ok()) {
     return status;
@@ -165,6 +167,7 @@
   std::map<std::string, std::int64_t> gauges;
   gauges["configuration_age_ms"] = config_watcher_->AgeMs();
   gauges["store_age_ms"] = election_->StoreAgeMs();
+  gauges["expected_wait_ms"] = admission_.LongestWaitMs(BootMs());
   gauges["is_owner"] = dispatcher_ == nullptr ? 0 : 1;
   gauges["has_rights"] = election_->HasRights() ? 1 : 0;
   if (dispatcher_ != nullptr) {
@@ -219,6 +222,7 @@
 }
 
 auto FleetNode::OnElected(const OwnerClaim& claim) -> void {
+  admission_.Forget();
   DispatcherHooks hooks;
   hooks.has_rights_ = [this] { return election_->HasRights(); };
   hooks.step_down_ = [this](const std::string& reason) {
@@ -316,6 +320,7 @@
 
 auto FleetNode::OnOwnerChanged() -> void {
   owner_connection_refusals_ = 0;
+  admission_.Forget();
   SendLeaseExpiries(kMaxLeaseReportAttempts);
   // The sooner the owner answers a report, the sooner this instance can bound
   // its rights.
@@ -465,6 +470,9 @@
       }
       successor_candidates_[address] = {
           BootMs(), GetInt(body, "claim_delay_ms", 0, 0, INT64_MAX)};
+      for (const auto& [queue, wait_ms] : dispatcher_->ExpectedWaits()) {
+        answer["expected_waits"][queue] = Json::Int64{wait_ms};
+      }
       answer["store_age_ms"] = Json::Int64{election_->StoreAgeMs()};
       answer["epoch"] = Json::Int64{dispatcher_->token()};
       answer["stamp_ms"] = Json::Int64{BootMs()};
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 
+#include "fleet/admission.h"
 #include "fleet/advice_balancer.h"
 #include "fleet/client_api.h"
 #include "fleet/config_exchange.h"
@@ -135,6 +136,7 @@
   FleetNodeDependencies dependencies_;
   PeerClient peer_client_;
   AdviceBalancer advice_balancer_;
+  Admission admission_;
   FleetMetrics metrics_;
   LoopMonitor loop_monitor_;
   ConfigPoller config_poller_;
--- a/fleet/fleet_node_reports.cc
+++ b/fleet/fleet_node_reports.cc
@@ -28,6 +28,9 @@
   if (is_draining_) {
     return;
   }
+  if (dispatcher_ != nullptr) {
+    admission_.Update(dispatcher_->ExpectedWaits(), BootMs());
+  }
   const auto& owner = election_->owner();
   if (election_->IsOwner() || owner.address_.empty()) {
     return;
@@ -43,6 +46,9 @@
         election_->OnReportAnswered(answer);
         config_sources_ = answer.config_sources_;
         owner_answered_ms_ = BootMs();
+        if (answer.epoch_ == election_->owner().epoch_) {
+          admission_.Update(answer.expected_waits_, answer.sent_ms_);
+        }
         owner_store_answered_ms_ = owner_answered_ms_ - answer.store_age_ms_;
       },
       [this, revision = owner.revision_] {
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -103,18 +103,32 @@
   return path.work_ms_ + static_cast<Millis>(path.step_count_ * advice_ms);
 }
 
-auto Job::ObjectiveMs(const Queue& queue) const -> Millis {
+auto Job::WorkMs(const Queue& queue) const -> Millis {
   Millis longest = 0;
   for (std::size_t s = 0; s < record_.steps_.size(); ++s) {
-    if (record_.steps_[s].is_long_running_) {
-      return 0;
-    }
     longest = std::max(longest, RemainingMs(static_cast<int>(s), queue));
   }
-  return static_cast<Millis>(queue.stretch_ * static_cast<double>(longest)) +
+  return longest;
+}
+
+auto Job::ObjectiveMs(const Queue& queue) const -> Millis {
+  if (std::any_of(record_.steps_.begin(), record_.steps_.end(),
+                  [](const Step& step) { return step.is_long_running_; })) {
+    return 0;
+  }
+  return static_cast<Millis>(queue.stretch_ *
+                             static_cast<double>(WorkMs(queue))) +
          queue.target_ms_;
 }
 
+auto Job::SlackMs(const Queue& queue) const -> std::optional<Millis> {
+  const auto objective = ObjectiveMs(queue);
+  if (objective == 0) {
+    return std::nullopt;
+  }
+  return std::max<Millis>(0, objective - WorkMs(queue));
+}
+
 auto Job::IsYielding(const StepRun& step, const Queue& queue,
                      Millis wall_ms) const -> bool {
   const auto objective = ObjectiveMs(queue);
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -163,6 +163,9 @@
   // Returns the target duration of the job, or of each of its occurrences,
   // under the queue's policy; 0 if the job has a long-running step.
   auto ObjectiveMs(const Queue& queue) const -> Millis;
+  // Returns how much of the objective is left beside the job's own work;
+  // nullopt if it has no objective.
+  auto SlackMs(const Queue& queue) const -> std::optional<Millis>;
   // Returns true if other steps of the same priority should be placed first:
   // the step's occurrence can no longer meet the objective, but is not yet so
   // late that it is about to count as lost.
@@ -256,6 +259,8 @@
   // Returns the estimated time from the step's start to the job's end if no
   // task waits for placement, with one advice call for each step.
   auto RemainingMs(int step, const Queue& queue) const -> Millis;
+  // Returns the same from the job's start.
+  auto WorkMs(const Queue& queue) const -> Millis;
 
   JobRecord record_;
   ProgressRecord progress_;
--- a/fleet/owner_rights.h
+++ b/fleet/owner_rights.h
@@ -92,6 +92,9 @@
   // Instances from which to take the configuration (fleet/config_relays.h); an
   // older owner names none.
   std::vector<std::string> config_sources_ = {};
+  // By queue: how long a new job is expected to wait for its starts. Queues
+  // without a wait are left out, and an older owner names none.
+  std::map<std::string, Millis> expected_waits_ = {};
 };
 
 // The rights of one owner.
--- a/fleet/peer_client.cc
+++ b/fleet/peer_client.cc
@@ -3,6 +3,8 @@
 
 #include "fleet/peer_client.h"
 
+#include <algorithm>
+
 #include "lentilscale/error.h"
 #include "lentilscale/json.h"
 
@@ -19,7 +21,7 @@
 // Timeout of an advice call through a peer, beyond its expected time: the most
 // that the extra hop adds.
 constexpr Millis kAdviceTimeoutMarginMs = 1800;
-// Upper bound on the validity of tickets.
+// Upper bound on the validity of tickets, and on expected waits.
 constexpr Millis kMaxValidMs = 1000000000000;
 constexpr auto kMilliPerCore = 1000.0;
 
@@ -48,6 +50,23 @@
   return sources;
 }
 
+// Returns the expected waits by queue. An answer with odd ones is as good as
+// without: nothing is refused by them.
+auto ParseExpectedWaits(const Json::Value& answer)
+    -> std::map<std::string, Millis> {
+  std::map<std::string, Millis> waits;
+  const auto& named = answer["expected_waits"];
+  if (!named.isObject()) {
+    return waits;
+  }
+  for (const auto& queue : named.getMemberNames()) {
+    if (const auto& wait = named[queue]; wait.isInt64() && wait.asInt64() > 0) {
+      waits[queue] = std::min<Millis>(wait.asInt64(), kMaxValidMs);
+    }
+  }
+  return waits;
+}
+
 // Returns nullopt if the answer is none or cannot be read.
 auto ParseReportAnswer(const HttpResult& http) -> std::optional<ReportAnswer> {
   const auto answer = ParseAnswer(http);
@@ -57,7 +76,8 @@
                         RequireInt(answer, "store_age_ms", 0, INT64_MAX),
                         GetInt(answer, "former_epoch", 0, 0, INT64_MAX),
                         http.sent_ms_,
-                        ParseConfigSources(answer)};
+                        ParseConfigSources(answer),
+                        ParseExpectedWaits(answer)};
   } catch (const Error&) {
     return std::nullopt;
   }
--- a/fleet/start_shares.cc
+++ b/fleet/start_shares.cc
@@ -89,6 +89,7 @@
   sent_ += count;
   rate_.Add(count);
   start_class.rate_.Add(count);
+  start_class.started_ += count;
   // What others have left is free, but for what a gang takes beyond it.
   start_class.credit_ -=
       is_rest_released_ ? std::clamp(sent_ - budget_, 0, count) : count;
--- a/fleet/start_shares.h
+++ b/fleet/start_shares.h
@@ -74,6 +74,8 @@
   // When a step was last held back; 0 if none was.
   Millis held_back_ms_ = 0;
   StartRate rate_ = {};
+  // Starts in all.
+  std::int64_t started_ = 0;
   // Number of the round in which each step that cannot start is looked at once;
   // the next one begins when none was left in a pass.
   std::int64_t look_round_ = 1;
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -591,6 +591,13 @@
         R"({{"store_age_ms":1,"epoch":2,"stamp_ms":3,"config_sources":{}}})",
         sources)));
   }
+  // Expected waits decide over refusals alone.
+  for (const auto* waits :
+       {"5", "[1]", "null", "{\"a\":{}}", "{\"a\":-1,\"b\":1e300,\"c\":0.5}"}) {
+    BOOST_TEST(caller.Report(fmt::format(
+        R"({{"store_age_ms":1,"epoch":2,"stamp_ms":3,"expected_waits":{}}})",
+        waits)));
+  }
   for (const auto* value :
        {"\"x\"", "{}", "[1]", "1e300", "-1", "9223372036854775808", "0.5"}) {
     BOOST_TEST(!caller.Report(answer(value)), "former_epoch: " << value);
@@ -643,7 +650,8 @@
            [&](const auto& body) { caller.Advise(body); }},
           {R"({"tickets":[["i-1","t"]],"valid_ms":2000})",
            [&](const auto& body) { caller.AdviseThroughPeer(body); }},
-          {R"({"store_age_ms":1,"epoch":2,"stamp_ms":3,"former_epoch":1})",
+          {R"({"store_age_ms":1,"epoch":2,"stamp_ms":3,"former_epoch":1,)"
+           R"("expected_waits":{"a":700}})",
            [&](const auto& body) { caller.Report(body); }},
           {R"({"items":[{"key":"servers/a","value":"e30=","revision":3}],)"
            R"("at_revision":7})",
--- /dev/null
+++ b/testing/overload_admission_test.cc
@@ -0,0 +1,263 @@
+// New jobs while more work waits than the owner can start in time: two real
+// instances with the platform's adapter against the emulated platform, all on
+// one event loop.
+
+#define BOOST_TEST_MODULE overload_admission
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lentilscale/log.h"
+#include "lentilscale/timer.h"
+#include "platform/platform_node.h"
+#include "testing/free_address_stand_in.h"
+#include "testing/platform_emulator_stand_in.h"
+
+namespace lentilscale::testing {
+namespace {
+
+constexpr Millis kPatienceMs = 20000;
+constexpr Millis kHeartbeatMs = 1500;
+constexpr std::size_t kNodes = 2;
+constexpr int kWorkers = 40;
+constexpr std::int64_t kWorkerCpuMilli = 16000;
+constexpr int kTaskCpuMilli = 100;
+constexpr int kTasks = 4000;
+// Longer than an answer in good time: the owner then sends some 50 starts a
+// second, and the backlog takes several times its objective of 20 s.
+constexpr Millis kLateMs = 300;
+// Tries until a backlog has shown how fast it is worked off.
+constexpr int kTries = 60;
+constexpr Millis kTryIntervalMs = 100;
+// Refusals one after the other that show that all are refused.
+constexpr int kRefusalsInARow = 10;
+constexpr auto kBacklog = "00000000000000c1";
+
+class Fleet {
+ public:
+  Fleet() {
+    signal(SIGPIPE, SIG_IGN);
+    SetLogLevel(LogLevel::kError);
+    platform_.SetHeartbeat(kHeartbeatMs);
+    const auto route = [](const char* name, const char* service) {
+      return fmt::format(
+          R"({{"name":"{0}","host":"h.example","prefix":"/{0}/",)"
+          R"("service":"{1}","priority":1,"max_attempts":3,"stretch":2.0,)"
+          R"("target_duration_ms":20000,"public":true}})",
+          name, service);
+    };
+    platform_.store().Put(
+        "op/config",
+        fmt::format(R"({{"version":1,"routes":[{},{}],"services":[],)"
+                    R"("limits":{{}},"tenants":[]}})",
+                    route("busy", "s"), route("other", "t")));
+    for (auto i = 0; i < kWorkers; ++i) {
+      platform_.AddWorker(fmt::format("i-{}", i), "s", kWorkerCpuMilli, 0);
+    }
+    platform_.AddWorker("j-0", "t", kWorkerCpuMilli, 0);
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      platform::BootFile boot;
+      boot.node_name_ = fmt::format("node-{}", i);
+      boot.client_address_ = FreeAddress();
+      boot.readiness_address_ = FreeAddress();
+      boot.peer_address_ = FreeAddress();
+      boot.store_address_ = platform_.store().address();
+      boot.advice_address_ = platform_.advice_address();
+      boot.heartbeat_ms_ = kHeartbeatMs;
+      addresses_.push_back(boot.client_address_);
+      auto node = platform::PlatformNode::Create(loop_, boot);
+      BOOST_REQUIRE_MESSAGE(node.ok(), node.status().ToString());
+      nodes_.push_back(*std::move(node));
+    }
+    // All workers are claimed, and tasks of both queues may be started.
+    for (const auto* queue : {"busy", "other"}) {
+      const auto id = NewId();
+      BOOST_REQUIRE(RunUntil([&] {
+        return Submit(0, queue, id, "ms=20", kWorkers).starts_with("200");
+      }));
+      BOOST_REQUIRE(RunUntil([&] { return platform_.DoneOf(id) == kWorkers; }));
+    }
+    RunFor(kHeartbeatMs);
+  }
+
+  auto platform() -> PlatformEmulator& { return platform_; }
+
+  // Makes a backlog and waits until new jobs are refused at both instances.
+  // Returns the id of one of them.
+  auto MakeBacklog() -> std::string {
+    DelayAnswers(kLateMs);
+    BOOST_REQUIRE(Submit(0, "busy", kBacklog, "ms=60000", kTasks) == "200 ");
+    std::string refused;
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      auto in_a_row = 0;
+      for (auto i = 0; i < kTries && in_a_row < kRefusalsInARow; ++i) {
+        const auto id = NewId();
+        const auto is_refused =
+            Submit(node, "busy", id, "ms=20", 1).starts_with("503 ");
+        in_a_row = is_refused ? in_a_row + 1 : 0;
+        refused = is_refused ? id : refused;
+        RunFor(is_refused ? 0 : kTryIntervalMs);
+      }
+      BOOST_REQUIRE_MESSAGE(in_a_row == kRefusalsInARow,
+                            "a new job is accepted at node "
+                                << node << " although it must wait too long");
+    }
+    return refused;
+  }
+
+  auto DelayAnswers(Millis ms) -> void {
+    for (auto i = 0; i < kWorkers; ++i) {
+      platform_.worker(fmt::format("i-{}", i)).DelayAnswers(ms);
+    }
+  }
+
+  auto NewId() -> std::string { return fmt::format("f{:015x}", ++last_id_); }
+
+  // Hands a job in and returns the status, a space and the Retry-After.
+  auto Submit(std::size_t node, const std::string& queue, const std::string& id,
+              const std::string& spec, int count,
+              const std::string& of_step = "", const std::string& of_job = "")
+      -> std::string {
+    platform_.SetDemand(id, kTaskCpuMilli, 0);
+    return Call(node, "POST", queue, id,
+                fmt::format(R"({{"spec":"{}","steps":[{{"count":{},"cpu":{},)"
+                            R"("mem_mb":10,"estimate_ms":300{}}}]{}}})",
+                            spec, count, kTaskCpuMilli, of_step, of_job));
+  }
+
+  // The same for any call, on a connection of its own.
+  auto Call(std::size_t node, const std::string& method,
+            const std::string& queue, const std::string& id,
+            const std::string& body) -> std::string {
+    const auto& address = addresses_[node];
+    const auto fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in addr{};
+    addr.sin_family = AF_INET;
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    addr.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1))));
+    BOOST_REQUIRE_EQUAL(
+        connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)), 0);
+    const auto text = fmt::format(
+        "{} /{}/{} HTTP/1.1\r\nHost: h.example\r\nContent-Type: "
+        "application/json\r\nContent-Length: {}\r\n\r\n{}",
+        method, queue, id, body.size(), body);
+    BOOST_REQUIRE_EQUAL(send(fd, text.data(), text.size(), 0),
+                        static_cast<ssize_t>(text.size()));
+    std::string answer;
+    RunUntil([&] {
+      std::array<char, 4096> buffer{};
+      const auto got = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (got > 0) {
+        answer.append(buffer.data(), static_cast<std::size_t>(got));
+      }
+      return answer.find("\r\n\r\n") != std::string::npos;
+    });
+    close(fd);
+    BOOST_REQUIRE(answer.starts_with("HTTP/1.1 "));
+    const std::string name = "\r\nretry-after: ";
+    const auto at = answer.find(name);
+    const auto value = at == std::string::npos ? at : at + name.size();
+    return answer.substr(9, 3) + " " +
+           (value == std::string::npos
+                ? ""
+                : answer.substr(value, answer.find("\r\n", value) - value));
+  }
+
+  auto RunUntil(const std::function<bool()>& condition,
+                Millis patience_ms = kPatienceMs) -> bool {
+    const auto until = MonotonicMs() + patience_ms;
+    RepeatingTimer waker(loop_, 5, [] {});
+    while (!condition() && MonotonicMs() < until) {
+      uv_run(loop_, UV_RUN_ONCE);
+    }
+    return condition();
+  }
+
+  auto RunFor(Millis ms) -> void {
+    RunUntil([] { return false; }, ms);
+  }
+
+  auto CheckPromises() -> void {
+    const auto& violations = platform_.violations();
+    BOOST_TEST(violations.empty(),
+               violations.size() << " broken promises, the first: "
+                                 << (violations.empty() ? "" : violations[0]));
+  }
+
+ private:
+  uv_loop_t* loop_ = uv_default_loop();
+  PlatformEmulator platform_{loop_};
+  std::vector<std::string> addresses_;
+  std::vector<std::unique_ptr<platform::PlatformNode>> nodes_;
+  int last_id_ = 0;
+};
+
+}  // namespace
+
+// Guards against an overload in which every job is accepted and fails later,
+// and against jobs that run although their client was told that they don't.
+BOOST_AUTO_TEST_CASE(a_job_that_would_wait_too_long_is_refused_and_never_runs) {
+  Fleet fleet;
+  const auto refused = fleet.MakeBacklog();
+  BOOST_TEST(!fleet.platform().store().HasPrefix("ls/in/job/" + refused));
+  BOOST_TEST(fleet.Call(1, "GET", "busy", refused, "") == "410 ");
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    const auto answer = fleet.Submit(node, "busy", refused, "ms=20", 1);
+    BOOST_TEST(answer.starts_with("503 "));
+    BOOST_TEST(std::stoi(answer.substr(4)) >= 1);
+  }
+  BOOST_TEST(fleet.Call(0, "DELETE", "busy", kBacklog, "") == "200 ");
+  fleet.DelayAnswers(0);
+  BOOST_TEST(fleet.RunUntil(
+      [&] { return fleet.platform().RunningOf(kBacklog) == 0; }));
+  // There is room again, at both instances.
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    const auto id = fleet.NewId();
+    BOOST_TEST(fleet.RunUntil(
+        [&] { return fleet.Submit(node, "busy", id, "ms=20", 1) == "200 "; }));
+    BOOST_TEST(
+        fleet.RunUntil([&] { return fleet.platform().DoneOf(id) == 1; }));
+  }
+  BOOST_TEST(fleet.platform().StartsOf(refused) == 0);
+  fleet.CheckPromises();
+}
+
+// Guards against refusals that are of no use to anyone: of jobs that were
+// accepted, of classes with room, of lasting jobs and of those with due times.
+BOOST_AUTO_TEST_CASE(what_was_accepted_or_has_room_is_not_refused) {
+  Fleet fleet;
+  fleet.MakeBacklog();
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    BOOST_TEST(fleet.Submit(node, "busy", kBacklog, "ms=60000", kTasks) ==
+               "200 ");
+    BOOST_TEST(fleet.Submit(node, "other", fleet.NewId(), "ms=20", 1) ==
+               "200 ");
+    const auto lasting = fleet.NewId();
+    BOOST_TEST(fleet.Submit(node, "busy", lasting, "ms=0", 1,
+                            R"(,"long_running":true)") == "200 ");
+    BOOST_TEST(fleet.RunUntil(
+        [&] { return fleet.platform().RunningOf(lasting) == 1; }));
+    BOOST_TEST(fleet.Submit(node, "busy", fleet.NewId(), "ms=20", 1, "",
+                            R"(,"repeat_count":2,"start_at_ms":1,)"
+                            R"("interval_ms":1000)") == "200 ");
+    BOOST_TEST(fleet.Submit(node, "busy", fleet.NewId(), "ms=20", 1)
+                   .starts_with("503 "));
+    // It is not known whether the job was accepted before.
+    const auto unknown = fleet.NewId();
+    fleet.platform().store().SetRangeRefused("ls/in/job/" + unknown, true);
+    BOOST_TEST(fleet.Submit(node, "busy", unknown, "ms=20", 1) == "200 ");
+  }
+  fleet.CheckPromises();
+}
+
+}  // namespace lentilscale::testing
--- a/testing/platform_emulator_stand_in.cc
+++ b/testing/platform_emulator_stand_in.cc
@@ -228,7 +228,12 @@
   Json::Value answer(Json::objectValue);
   answer["at_revision"] = Json::Int64{revision_};
   if (request.path_ == "/kv-key") {
-    const auto it = items_.find(request.QueryParam("key", ""));
+    const auto key = request.QueryParam("key", "");
+    if (refused_ranges_.contains(key)) {
+      reply->Send(429, "{}");
+      return;
+    }
+    const auto it = items_.find(key);
     if (it == items_.end()) {
       reply->Send(404, DumpJson(answer));
       return;
--- a/testing/platform_emulator_stand_in.h
+++ b/testing/platform_emulator_stand_in.h
@@ -67,7 +67,8 @@
   auto SetPageHook(std::function<void(const std::string&)> hook) -> void {
     page_hook_ = std::move(hook);
   }
-  // While true, reads of the keys that begin with `prefix` are refused.
+  // While true, reads of the keys that begin with `prefix` are refused, and of
+  // the key that is equal to it.
   auto SetRangeRefused(const std::string& prefix, bool is_refused) -> void {
     if (is_refused) {
       refused_ranges_.insert(prefix);
