--- a/testing/fleet_store_test.cc
+++ b/testing/fleet_store_test.cc
@@ -205,6 +205,7 @@
                           config.queues_[0].is_public_ = true;
                           return config;
                         }};
+  Admission admission_{1};
   ClientApi api_{
       uv_default_loop(),
       &store_,
@@ -216,6 +217,7 @@
        [](const std::string&, const auto& callback) { callback(std::nullopt); },
        [](Millis) { return false; }},
       10 * kPatienceMs,
+      &admission_,
       &metrics_};
   std::unique_ptr<HttpServer> server_ = *HttpServer::Listen(
       uv_default_loop(), "127.0.0.1", 0, {},
