Refuse calls at once that would wait until they are too late

Seen by callers: under overload a call that could not be served waited until shortly before its deadline, 10 s by default, and only then was answered "not run"; a caller that could have gone elsewhere had no time left for it.

Cause: the queue of a team was bounded by its length alone, 2,000 items of any duration.

Evidence: with this check left out, CallsThatWouldWaitTooLongAreRefusedAtOnce of executor_test fails: 0 of 1,000 calls with 400 ms each are refused when they come.

Change: the scheduler follows the mean interval at which each lane is served while items wait; a call whose place in its lane, times that interval, is beyond its latest start is answered queue_full, which proves that it did not run and may be retried, by the retry budget, at another instance. An empty lane predicts no wait, so that no pace of the past refuses calls that find room.

--- a/lentilscale/executor.h
+++ b/lentilscale/executor.h
@@ -100,7 +100,8 @@
   // Returns true if a start request for a task of the shard is unanswered.
   auto HasUnansweredStarts(const std::string& shard) const -> bool;
 
-  // Queues work. Throws Error(kQueueFull, kUnknownService, kShuttingDown).
+  // Queues work. Throws Error(kQueueFull, kUnknownService, kShuttingDown); the
+  // queue is also full for a call that would wait until it is too late for it.
   auto Submit(Work work) -> void;
   // Stops the started tasks of the jobs, and removes queued ones without
   // reporting an event.
--- a/lentilscale/executor_dispatch.cc
+++ b/lentilscale/executor_dispatch.cc
@@ -58,6 +58,16 @@
   }
   work.item_.need_ = size_model_.Reservation(work.item_.team_, work.work_class_,
                                              work.item_.need_);
+  if (std::holds_alternative<CallWork>(work.kind_)) {
+    work.item_.expected_run_ms_ =
+        call_time_model_.ExpectedMs(work.item_.team_, work.work_class_);
+    if (!scheduler.CanStartInTime(work.item_, MonotonicMs())) {
+      throw Error(ErrorCode::kQueueFull,
+                  fmt::format("the calls of team {} that wait on this instance "
+                              "leave this one no time before its deadline",
+                              work.item_.team_));
+    }
+  }
   const auto key = work.item_.key_;
   retry_budget_.OnFirstAttempt();
   if (auto* task = std::get_if<TaskWork>(&work.kind_)) {
@@ -82,8 +92,6 @@
     }
     scheduler.Enqueue(item);
   } else {
-    work.item_.expected_run_ms_ =
-        call_time_model_.ExpectedMs(work.item_.team_, work.work_class_);
     auto& state = calls_[key];
     state.work_ = std::move(work);
     scheduler.Enqueue(state.work_.item_);
--- a/lentilscale/scheduler.cc
+++ b/lentilscale/scheduler.cc
@@ -439,6 +439,7 @@
     const auto worker = FindBestWorker(*team_lane.team_, item);
     if (worker) {
       Dequeue(item.key_);
+      RecordServed(lane, now);
       return AllocateItem(item, *worker, now);
     }
     if (open_free_slots_ <= 0) {
--- a/lentilscale/scheduler.h
+++ b/lentilscale/scheduler.h
@@ -172,6 +172,9 @@
   auto SetTeamLimit(const std::string& team, const std::string& shard,
                     std::int64_t limit) -> void;
 
+  // Returns false if `item`, queued now, would be too late by the pace at which
+  // its lane was served of late.
+  auto CanStartInTime(const WorkItem& item, Millis now) const -> bool;
   auto Enqueue(const WorkItem& item) -> void;
   // Removes an item from the queue. Returns false if it is not queued.
   auto Dequeue(const std::string& key) -> bool;
@@ -259,6 +262,10 @@
     // Value of `change_count_` when no tried item of the lane could be placed;
     // 0 if the lane has to be tried.
     std::uint64_t blocked_at_change_ = 0;
+    // Decayed mean of the time between two placements while items wait.
+    double mean_interval_ms_ = 0;
+    // When the last item was placed, or the first one joined the empty lane.
+    Millis served_ms_ = 0;
   };
 
   struct TeamState {
@@ -320,6 +327,10 @@
       -> std::optional<Placement>;
   auto AllocateItem(const WorkItem& item, Index worker, Millis now)
       -> Placement;
+  // Returns the time that `item` would wait in its lane if it were queued now.
+  auto ExpectedWaitMs(const WorkItem& item) const -> Millis;
+  // Follows the pace of a lane of which an item has been placed.
+  static auto RecordServed(LaneQueue& lane, Millis now) -> void;
   // Removes an item that is queued from all records of the queue.
   auto RemoveFromLane(const WorkItem& item) -> void;
   auto UpdateGroupCounts(const Allocation& allocation, Index worker,
--- a/lentilscale/scheduler_queue.cc
+++ b/lentilscale/scheduler_queue.cc
@@ -7,6 +7,11 @@
 // load lasts; so an item leaves the queue while there is still time for it to
 // run. The items are also kept in the order of these times: looking through a
 // long queue in each pass would slow down the passes when there is most to do.
+//
+// What a new item will wait is the number of items before it times the mean
+// interval at which its lane was served (Little's law). Intervals count only
+// while items wait, so that a lane with room has a short one, and an empty lane
+// predicts no wait whatever it was.
 
 #include <algorithm>
 
@@ -19,6 +24,8 @@
 // take. Without it, an expectation that is too high would refuse all items, and
 // no run would correct it.
 constexpr Millis kMinQueueMs = 20;
+// Weight of the latest interval in the mean.
+constexpr double kIntervalGain = 1.0 / 32;
 
 }  // namespace
 
@@ -30,9 +37,35 @@
                                          enqueued_ms_ + kMinQueueMs));
 }
 
+auto Scheduler::ExpectedWaitMs(const WorkItem& item) const -> Millis {
+  const auto it = teams_.find(item.team_);
+  if (it == teams_.end()) {
+    return 0;
+  }
+  const auto& lane = it->second.lanes_[static_cast<std::size_t>(item.lane_)];
+  return static_cast<Millis>(static_cast<double>(lane.keys_.size()) *
+                             lane.mean_interval_ms_);
+}
+
+auto Scheduler::CanStartInTime(const WorkItem& item, Millis now) const -> bool {
+  const auto wait_ms = ExpectedWaitMs(item);
+  // An item that is late itself, not for what waits before it, expires.
+  return item.deadline_ms_ == 0 || wait_ms == 0 ||
+         now + wait_ms <= item.LatestStartMs();
+}
+
+auto Scheduler::RecordServed(LaneQueue& lane, Millis now) -> void {
+  const auto interval = static_cast<double>(now - lane.served_ms_);
+  lane.mean_interval_ms_ += kIntervalGain * (interval - lane.mean_interval_ms_);
+  lane.served_ms_ = now;
+}
+
 auto Scheduler::Enqueue(const WorkItem& item) -> void {
   auto& team = GetOrAddTeam(item.team_);
   auto& lane = team.lanes_[static_cast<std::size_t>(item.lane_)];
+  if (lane.keys_.empty()) {
+    lane.served_ms_ = std::max(lane.served_ms_, item.enqueued_ms_);
+  }
   lane.keys_.push_back(item.key_);
   // The new item may fit where the items before it did not.
   if (lane.keys_.size() <= options_.backfill_depth_) {
--- a/testing/call_overload_test.cc
+++ b/testing/call_overload_test.cc
@@ -34,6 +34,8 @@
   int offered_ = 0;
   int in_time_ = 0;
   int late_ = 0;
+  // Calls that were refused when they arrived, and while they waited.
+  int refused_at_once_ = 0;
   int refused_ = 0;
 };
 
@@ -47,6 +49,7 @@
     scheduler_.SetTeamLimit("t", "s/a/0", kSlots);
   }
 
+  auto SetOpen(bool is_open) -> void { scheduler_.SetOpen("w", is_open); }
   auto model() -> CallTimeModel& { return model_; }
 
   // Offers calls for a while and counts what happened meanwhile.
@@ -56,7 +59,7 @@
       EndCalls(counts);
       if (now_ % load.interval_ms_ == 0) {
         ++counts.offered_;
-        Offer();
+        Offer(counts);
       }
       counts.refused_ +=
           static_cast<int>(scheduler_.RemoveExpired(now_).size());
@@ -90,7 +93,7 @@
     }
   }
 
-  auto Offer() -> void {
+  auto Offer(Counts& counts) -> void {
     WorkItem item;
     item.key_ = "c" + std::to_string(++last_call_);
     item.lane_ = Lane::kCall;
@@ -100,6 +103,10 @@
     item.enqueued_ms_ = now_;
     item.deadline_ms_ = now_ + kDeadlineMs;
     item.expected_run_ms_ = model_.ExpectedMs(item.team_, item.group_);
+    if (!scheduler_.CanStartInTime(item, now_)) {
+      ++counts.refused_at_once_;
+      return;
+    }
     scheduler_.Enqueue(item);
   }
 
@@ -120,7 +127,30 @@
   BOOST_TEST(counts.offered_ == 1000);
   BOOST_TEST(counts.in_time_ >= 780);
   BOOST_TEST(counts.late_ <= 8);
-  BOOST_TEST(counts.refused_ <= 210);
+  BOOST_TEST(counts.refused_at_once_ + counts.refused_ <= 210);
+}
+
+// Calls that could not be served waited in vain until it was too late for them.
+BOOST_AUTO_TEST_CASE(what_cannot_be_served_is_refused_at_once) {
+  World world;
+  world.Run(10000, {});
+  const auto counts = world.Run(10000, {});
+  BOOST_TEST(counts.refused_at_once_ >= 180);
+  BOOST_TEST(counts.refused_ <= 20);
+}
+
+// The pace of a time without workers must not be held against calls that come
+// when there is room again.
+BOOST_AUTO_TEST_CASE(no_call_is_refused_once_there_is_room) {
+  World world;
+  world.Run(5000, {20, 100});
+  world.SetOpen(false);
+  world.Run(30000, {20, 100});
+  world.SetOpen(true);
+  world.Run(1000, {20, 100});
+  const auto counts = world.Run(5000, {20, 100});
+  BOOST_TEST(counts.in_time_ >= counts.offered_ - 1);
+  BOOST_TEST(counts.refused_at_once_ + counts.refused_ == 0);
 }
 
 // Where calls take different times, only a few may be started too late.
@@ -188,6 +218,7 @@
   item.enqueued_ms_ = 5;
   item.expected_run_ms_ = 100;
   BOOST_TEST(item.LatestStartMs() == 0);
+  BOOST_TEST(Scheduler(Scheduler::Options{}).CanStartInTime(item, 1000));
 }
 
 }  // namespace
--- a/testing/executor_test.cc
+++ b/testing/executor_test.cc
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "lentilscale/error.h"
 #include "lentilscale/json.h"
 #include "lentilscale/shard_map.h"
 #include "lentilscale/worker_server.h"
@@ -122,6 +123,31 @@
   BOOST_TEST(not_run == 1);
 }
 
+// Calls that could not be started in time waited for nothing: only the number
+// of those that were queued was bounded.
+BOOST_FIXTURE_TEST_CASE(CallsThatWouldWaitTooLongAreRefusedAtOnce, Fixture) {
+  Open(1);
+  constexpr std::size_t kTaught = 100;
+  constexpr std::size_t kOffered = 1000;
+  for (std::size_t i = 0; i < kTaught; ++i) {
+    Call("a" + std::to_string(i), 40);
+  }
+  Await([this] { return outcomes_.size() == kTaught; });
+  std::size_t refused = 0;
+  for (std::size_t i = 0; i < kOffered; ++i) {
+    try {
+      Call("b" + std::to_string(i), 40, 400);
+    } catch (const Error& e) {
+      refused += e.code() == ErrorCode::kQueueFull ? 1 : 0;
+    }
+  }
+  BOOST_TEST(refused > kOffered / 2);
+  BOOST_TEST(refused < kOffered);
+  Await([this, refused] {
+    return outcomes_.size() == kTaught + kOffered - refused;
+  });
+}
+
 // Seed 18 of the chaos schedules: calls that outlived a time without the shard
 // were not counted against limits when it came back.
 BOOST_FIXTURE_TEST_CASE(OwnCallsCountAfterTheShardCameBack, Fixture) {
