Fetch a configuration from one peer at a time

Seen by callers: a new configuration could be late at an instance with a slow link, and stay late: the later it was, the more copies of it were on the link.

Cause: each heartbeat of each peer that had a newer configuration, sent or received, was followed by a call for the whole of it, without a bound on the calls under way.

Evidence: without the bound, configuration_fetcher_test fails in four places: 30 reports of three peers lead to 30 calls instead of one.

Change: ConfigurationFetcher keeps one call under way, asks the peers in turn, and asks again at once where a still newer configuration has been reported.

Measured: one call for these 30 reports.

--- a/lentilscale/node.cc
+++ b/lentilscale/node.cc
@@ -248,7 +248,8 @@
     members_.OnHeard(digest);
     const auto* sender = members_.Find(digest.id_);
     if (sender != nullptr && digest.ticket_ > configuration_.number_) {
-      FetchConfiguration(sender->record_.address_);
+      configuration_fetcher_.OnPeerHas(sender->record_.address_,
+                                       digest.ticket_);
     }
     return MakeDigest().ToJson();
   });
@@ -449,21 +450,22 @@
                      digest.configuration_age_ms_});
   const auto* state = members_.Find(digest.id_);
   if (state != nullptr && digest.ticket_ > configuration_.number_) {
-    FetchConfiguration(state->record_.address_);
+    configuration_fetcher_.OnPeerHas(state->record_.address_, digest.ticket_);
   }
 }
 
-auto Node::FetchConfiguration(const std::string& address) -> void {
+auto Node::FetchConfiguration(const std::string& address,
+                              const ConfigurationFetcher::Done& done) -> void {
   link_->Call(address, "get_configuration", Json::Value(Json::objectValue),
-              [this](const PeerAnswer& answer) {
-                if (!answer.is_ok_) {
-                  return;
-                }
+              [this, done](const PeerAnswer& answer) {
                 try {
-                  OnConfiguration(Configuration::FromJson(answer.body_));
+                  if (answer.is_ok_) {
+                    OnConfiguration(Configuration::FromJson(answer.body_));
+                  }
                 } catch (const Error& e) {
                   LogEvent(Event::kBadPeerMessage, {{"problem", e.what()}});
                 }
+                done(configuration_.number_);
               });
 }
 
--- a/lentilscale/node.h
+++ b/lentilscale/node.h
@@ -23,6 +23,7 @@
 #include "lentilscale/api.h"
 #include "lentilscale/authority.h"
 #include "lentilscale/call_router.h"
+#include "lentilscale/configuration_fetcher.h"
 #include "lentilscale/executor.h"
 #include "lentilscale/holding_rebalancer.h"
 #include "lentilscale/instance_list.h"
@@ -82,7 +83,8 @@
   auto SendHeartbeats() -> void;
   auto OnDigest(const MemberDigest& digest, Millis sent) -> void;
   auto MakeDigest() const -> MemberDigest;
-  auto FetchConfiguration(const std::string& address) -> void;
+  auto FetchConfiguration(const std::string& address,
+                          const ConfigurationFetcher::Done& done) -> void;
   auto RelayToPeer(const std::string& path, const std::string& body,
                    HttpClient::Callback callback) -> bool;
   auto AddPeerHandlers() -> void;
@@ -122,6 +124,11 @@
   std::vector<std::unique_ptr<RepeatingTimer>> timers_;
 
   Configuration configuration_;
+  ConfigurationFetcher configuration_fetcher_{
+      [this](const std::string& address,
+             const ConfigurationFetcher::Done& done) {
+        FetchConfiguration(address, done);
+      }};
   std::vector<WorkerInfo> workers_;
   std::int64_t lease_ = 0;
   bool is_leasing_ = false;
