--- a/lentilscale/executor.h
+++ b/lentilscale/executor.h
@@ -23,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "lentilscale/call_time_model.h"
 #include "lentilscale/configuration.h"
 #include "lentilscale/http_client.h"
 #include "lentilscale/members.h"
@@ -99,7 +100,8 @@
   // Returns true if a start request for a task of the shard is unanswered.
   auto HasUnansweredStarts(const std::string& shard) const -> bool;
 
-  // Queues work. Throws Error(kQueueFull, kUnknownService, kShuttingDown).
+  // Queues work. Throws Error(kQueueFull, kUnknownService, kShuttingDown); the
+  // queue is also full for a call that would wait until it is too late for it.
   auto Submit(Work work) -> void;
   // Stops the started tasks of the jobs, and removes queued ones without
   // reporting an event.
@@ -264,6 +266,7 @@
   Configuration configuration_;
   RetryBudget retry_budget_;
   SizeModel size_model_;
+  CallTimeModel call_time_model_;
   WorkerHealth health_;
   bool is_draining_ = false;
   bool is_pass_requested_ = false;
