--- a/testing/fleet_benchmark.cc
+++ b/testing/fleet_benchmark.cc
@@ -9,6 +9,9 @@
 // its event loop. The client that submits the jobs is part of the instance's
 // process.
 //
+// With LENTIL_LOG set, the instance's log goes to standard error, and its cost
+// is part of the result.
+//
 // With --take-over a second instance runs in the same process. The owner ends
 // without notice after half the time; the turns are then those of the successor
 // from that moment on, whose log goes to standard error.
@@ -23,6 +26,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdlib>
 #include <cstring>
 #include <memory>
 #include <string>
@@ -243,7 +247,9 @@
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
-  lentilscale::SetLogLevel(lentilscale::LogLevel::kError);
+  lentilscale::SetLogLevel(std::getenv("LENTIL_LOG") == nullptr
+                               ? lentilscale::LogLevel::kError
+                               : lentilscale::LogLevel::kInfo);
   load.workers_ = std::stoi(argv[1]);
   load.jobs_per_s_ = std::stod(argv[2]);
   load.seconds_ = std::stoi(argv[3]);
