Keep what decides a waiting step's turn, and order steps without a sort

What callers saw: the more steps wait, the fewer starts the owner makes. Cause: each pass looked up the policy of each waiting step's queue and its class by name, computed its job's objective up to three times and sorted all steps. Change: a step keeps its policy and the times from which it is late and yields, until the configuration changes; a pass looks up each class once; steps of one priority are put in two lists instead of sorted. The logs of load_world_test and placement_walk_test are the same byte for byte.

--- a/fleet/dispatcher.cc
+++ b/fleet/dispatcher.cc
@@ -216,6 +216,7 @@
     return;
   }
   last_config_ = config;
+  ++policies_version_;
   if (config != nullptr) {
     for (const auto& queue : config->queues_) {
       known_queues_[queue.name_] = queue;
@@ -230,6 +231,18 @@
   return it == known_queues_.end() ? nullptr : &it->second;
 }
 
+auto Dispatcher::UpdateTurn(StepRun& step) -> void {
+  auto& turn = step.turn_;
+  if (turn.policies_version_ == policies_version_) {
+    return;
+  }
+  turn.policy_ = FindQueuePolicy(step.job_->record().queue_);
+  if (turn.policy_ != nullptr) {
+    turn.lateness_ = step.job_->LatenessTimesOf(step, *turn.policy_);
+  }
+  turn.policies_version_ = policies_version_;
+}
+
 auto Dispatcher::WaitingKeyOf(StepRun& step) -> WaitingKey {
   const auto& record = step.job_->record();
   if (!step.priority_.has_value()) {
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -289,6 +289,8 @@
   auto FindQueuePolicy(const std::string& queue) -> const Queue*;
   // Updates known_queues_ if the configuration has changed.
   auto UpdateKnownQueues() -> void;
+  // Updates the step's turn if known_queues_ has changed since it was made.
+  auto UpdateTurn(StepRun& step) -> void;
   // Returns the step's sort key, which stays the same even if the priority of
   // its queue is changed.
   auto WaitingKeyOf(StepRun& step) -> WaitingKey;
@@ -489,9 +491,6 @@
     StepRun* step_;
     const Queue* queue_;
     StartClass* class_;
-    int priority_;
-    // True if other steps of the same priority go first.
-    bool is_yielding_;
     // True if it goes before steps of all priorities: it lasts, and starts are
     // held back.
     bool is_urgent_;
@@ -500,6 +499,7 @@
   };
   // Returns the class of the step as of the last pass.
   auto ClassOf(StepRun& step, const Queue& queue) -> StartClass&;
+  // Returns the steps in the order in which a pass visits them.
   auto OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep>;
   // Visits the steps that have not been visited, of each class up to the first
   // one that is held back, and no more than its looks allow.
@@ -693,6 +693,8 @@
   // The configuration from which known_queues_ was last updated.
   std::shared_ptr<const FleetConfig> last_config_;
   std::map<std::string, Queue> known_queues_;
+  // Grows with each change of known_queues_.
+  std::int64_t policies_version_ = 1;
   // The services on whose workers tasks may have been started, by queue. The
   // value is the workers record's first version that names the pair; 0 if the
   // previous owner's record does.
--- a/fleet/dispatcher_pass.cc
+++ b/fleet/dispatcher_pass.cc
@@ -112,29 +112,48 @@
 
 auto Dispatcher::OrderWaitingSteps(Millis now_ms) -> std::vector<WaitingStep> {
   const auto wall = WallMs();
+  UpdateKnownQueues();
+  // By queue, priority and lateness: a lookup by the service's name for each
+  // step would take longer than all else here.
+  std::map<std::tuple<const Queue*, int, bool>, StartClass*> classes;
+  std::vector<WaitingStep> urgent;
   std::vector<WaitingStep> steps;
+  std::vector<WaitingStep> yielding;
+  auto priority = std::numeric_limits<int>::min();
+  const auto add_yielding = [&] {
+    steps.insert(steps.end(), yielding.begin(), yielding.end());
+    yielding.clear();
+  };
   for (const auto& [key, step] : waiting_) {
-    const auto& job = *step->job_;
-    const auto* queue = FindQueuePolicy(job.record().queue_);
-    if (queue != nullptr && !job.IsEnded()) {
-      const auto is_late = job.IsLate(*step, *queue, wall);
-      if (is_late != step->is_late_) {
-        // It has not been looked at in the rounds of its new class.
-        step->is_late_ = is_late;
-        step->look_round_ = 0;
-      }
-      steps.push_back(
-          {step, queue, &ClassOf(*step, *queue), std::get<0>(key),
-           is_start_held_back_ ? is_late : job.IsYielding(*step, *queue, wall),
-           is_start_held_back_ && step->IsOverdue(now_ms)});
+    UpdateTurn(*step);
+    const auto* queue = step->turn_.policy_;
+    if (queue == nullptr || step->job_->IsEnded()) {
+      continue;
+    }
+    if (std::get<0>(key) != priority) {
+      add_yielding();
+      priority = std::get<0>(key);
+    }
+    const auto& lateness = step->turn_.lateness_;
+    const auto is_late = lateness.IsLate(wall);
+    if (is_late != step->is_late_) {
+      // It has not been looked at in the rounds of its new class.
+      step->is_late_ = is_late;
+      step->look_round_ = 0;
+    }
+    auto& start_class = classes[{queue, priority, is_late}];
+    if (start_class == nullptr) {
+      start_class = &ClassOf(*step, *queue);
     }
+    const auto is_yielding =
+        is_start_held_back_ ? is_late : lateness.IsYielding(wall);
+    const auto is_urgent = is_start_held_back_ && step->IsOverdue(now_ms);
+    // Tasks that last have no objective, so that urgent steps never yield.
+    auto& turns = is_urgent ? urgent : is_yielding ? yielding : steps;
+    turns.push_back({step, queue, start_class, is_urgent});
   }
-  std::stable_sort(
-      steps.begin(), steps.end(),
-      [](const WaitingStep& a, const WaitingStep& b) {
-        return std::tuple(!a.is_urgent_, a.priority_, a.is_yielding_) <
-               std::tuple(!b.is_urgent_, b.priority_, b.is_yielding_);
-      });
+  add_yielding();
+  steps.insert(steps.begin(), urgent.begin(), urgent.end());
   return steps;
 }
 
--- a/fleet/job.cc
+++ b/fleet/job.cc
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace lentilscale::fleet {
 namespace {
@@ -22,6 +23,8 @@
 // A late job yields to others until its age reaches this many objectives; after
 // three objectives it counts as lost.
 constexpr Millis kMaxYieldObjectives = 2;
+// Stands for "never" as the time after which a step is late.
+constexpr Millis kNeverLateMs = std::numeric_limits<Millis>::max();
 // A long-running task has to run again within seconds.
 constexpr Millis kMaxLastingWaitMs = 1000;
 
@@ -115,23 +118,26 @@
          queue.target_ms_;
 }
 
-auto Job::AgeMs(const StepRun& step, Millis wall_ms) const -> Millis {
-  return wall_ms - (record_.repeat_count_ == 0 ? record_.accepted_ms_
-                                               : DueMs(step.occurrence_));
+auto Job::LatenessTimesOf(const StepRun& step, const Queue& queue) const
+    -> LatenessTimes {
+  const auto objective = ObjectiveMs(queue);
+  if (objective == 0) {
+    return {kNeverLateMs, 0};
+  }
+  const auto due = record_.repeat_count_ == 0 ? record_.accepted_ms_
+                                              : DueMs(step.occurrence_);
+  return {due + objective - RemainingMs(step.step_number_, queue),
+          due + kMaxYieldObjectives * objective};
 }
 
 auto Job::IsLate(const StepRun& step, const Queue& queue, Millis wall_ms) const
     -> bool {
-  const auto objective = ObjectiveMs(queue);
-  return objective != 0 &&
-         AgeMs(step, wall_ms) + RemainingMs(step.step_number_, queue) >
-             objective;
+  return LatenessTimesOf(step, queue).IsLate(wall_ms);
 }
 
 auto Job::IsYielding(const StepRun& step, const Queue& queue,
                      Millis wall_ms) const -> bool {
-  return IsLate(step, queue, wall_ms) &&
-         AgeMs(step, wall_ms) < kMaxYieldObjectives * ObjectiveMs(queue);
+  return LatenessTimesOf(step, queue).IsYielding(wall_ms);
 }
 
 auto Job::NextDueMs() const -> Millis {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -89,6 +89,28 @@
   std::int64_t worker_incarnation_ = 0;
 };
 
+// When a step is late and when it yields (wall clock). Both follow from its job
+// and the queue's policy alone.
+struct LatenessTimes {
+  // The step is late after the first time; it then yields before the second.
+  Millis late_after_ms_ = 0;
+  Millis yields_until_ms_ = 0;
+
+  auto IsLate(Millis wall_ms) const -> bool { return wall_ms > late_after_ms_; }
+  auto IsYielding(Millis wall_ms) const -> bool {
+    return IsLate(wall_ms) && wall_ms < yields_until_ms_;
+  }
+};
+
+// What decides a waiting step's turn; see Dispatcher::UpdateTurn.
+struct StepTurn {
+  // Version of the queues' policies from which it was made; 0 if it was not.
+  std::int64_t policies_version_ = 0;
+  // nullptr if no configuration has had the queue.
+  const Queue* policy_ = nullptr;
+  LatenessTimes lateness_ = {};
+};
+
 // State of one step of one occurrence of a job.
 struct StepRun {
   Job* job_ = nullptr;
@@ -121,6 +143,7 @@
 
   // "JOB.OCCURRENCE.STEP".
   std::string name_;
+  StepTurn turn_;
   // True if the step was late in the last placement pass; see Job::IsLate.
   bool is_late_ = false;
   // Round of its class in which it was last looked at and could not start, see
@@ -165,6 +188,9 @@
   // Returns the target duration of the job, or of each of its occurrences,
   // under the queue's policy; 0 if the job has a long-running step.
   auto ObjectiveMs(const Queue& queue) const -> Millis;
+  // Returns the times on which IsLate and IsYielding depend.
+  auto LatenessTimesOf(const StepRun& step, const Queue& queue) const
+      -> LatenessTimes;
   // Returns true if the step's occurrence can no longer meet the objective.
   auto IsLate(const StepRun& step, const Queue& queue, Millis wall_ms) const
       -> bool;
@@ -245,9 +271,6 @@
   Millis end_recorded_ms_ = 0;
 
  private:
-  // Returns the time since the step's occurrence was due, or since the job was
-  // accepted if it has no due times.
-  auto AgeMs(const StepRun& step, Millis wall_ms) const -> Millis;
   // Returns the due time (wall clock) of an occurrence of a repeated job.
   auto DueMs(std::int64_t occurrence) const -> Millis;
   auto AddOccurrence(std::int64_t number, Millis now_ms)
