--- a/lentilscale/json.cc
+++ b/lentilscale/json.cc
@@ -2,16 +2,15 @@
 // trailing text; duplicate keys are refused too, because two readers of one
 // document could otherwise act on different values.
 //
-// JsonCpp's writer makes a stream for each text and a string for each part of
-// it, which costs more than all else in a short call. The text is therefore
-// appended to one string here, in the form that JsonCpp's writer gives it.
+// A writer and its stream are made once a thread: to make them takes longer
+// than to write a short text.
 
 #include "lentilscale/json.h"
 
 #include <fmt/format.h>
 
-#include <iterator>
 #include <memory>
+#include <sstream>
 
 #include "lentilscale/error.h"
 
@@ -43,98 +42,18 @@
   return std::unique_ptr<Json::CharReader>(builder.newCharReader());
 }
 
-// Appends `text` in quotes. All but control characters, quotes and backslashes
-// is left as it is, so that UTF-8 stays UTF-8.
-auto AppendQuoted(std::string_view text, std::string& out) -> void {
-  out += '"';
-  for (const auto c : text) {
-    switch (c) {
-      case '"':
-      case '\\':
-        out += '\\';
-        out += c;
-        break;
-      case '\b':
-        out += "\\b";
-        break;
-      case '\f':
-        out += "\\f";
-        break;
-      case '\n':
-        out += "\\n";
-        break;
-      case '\r':
-        out += "\\r";
-        break;
-      case '\t':
-        out += "\\t";
-        break;
-      default:
-        if (static_cast<unsigned char>(c) < ' ') {
-          fmt::format_to(std::back_inserter(out), "\\u{:04x}",
-                         static_cast<unsigned>(c));
-        } else {
-          out += c;
-        }
-    }
-  }
-  out += '"';
-}
-
-auto AppendJson(const Json::Value& value, std::string& out) -> void {
-  switch (value.type()) {
-    case Json::nullValue:
-      out += "null";
-      break;
-    case Json::intValue:
-      out += fmt::format_int(value.asLargestInt()).c_str();
-      break;
-    case Json::uintValue:
-      out += fmt::format_int(value.asLargestUInt()).c_str();
-      break;
-    case Json::realValue:
-      out += Json::valueToString(value.asDouble());
-      break;
-    case Json::booleanValue:
-      out += value.asBool() ? "true" : "false";
-      break;
-    case Json::stringValue: {
-      const char* begin = nullptr;
-      const char* end = nullptr;
-      if (value.getString(&begin, &end)) {
-        AppendQuoted({begin, end}, out);
-      }
-      break;
-    }
-    case Json::arrayValue: {
-      out += '[';
-      auto separator = std::string_view();
-      // By index, as an element that was never set is null.
-      for (Json::ArrayIndex i = 0; i < value.size(); ++i) {
-        out += separator;
-        separator = ",";
-        AppendJson(value[i], out);
-      }
-      out += ']';
-      break;
-    }
-    case Json::objectValue: {
-      out += '{';
-      auto separator = std::string_view();
-      for (auto it = value.begin(); it != value.end(); ++it) {
-        const char* end = nullptr;
-        const auto* name = it.memberName(&end);
-        out += separator;
-        separator = ",";
-        AppendQuoted({name, end}, out);
-        out += ':';
-        AppendJson(*it, out);
-      }
-      out += '}';
-      break;
-    }
+// JsonCpp's writer with the stream that it writes to.
+struct Writer {
+  Writer() {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    writer_.reset(builder.newStreamWriter());
   }
-}
+
+  std::unique_ptr<Json::StreamWriter> writer_;
+  std::ostringstream stream_;
+};
 
 }  // namespace
 
@@ -158,9 +77,10 @@
 }
 
 auto DumpJson(const Json::Value& value) -> std::string {
-  std::string text;
-  AppendJson(value, text);
-  return text;
+  thread_local Writer writer;
+  writer.stream_.str("");
+  writer.writer_->write(value, &writer.stream_);
+  return writer.stream_.str();
 }
 
 auto RequireString(const Json::Value& object, const char* name) -> std::string {
