Refuse for load from a quarter of the slack on, and all from three quarters on

What callers would see: while refused clients come back, jobs that are accepted just too late to be on time.

Cause: the expected wait is some hundred milliseconds old when it is used, and each refused client that comes back is offered again, so that the share to refuse is high and the wait stood at the whole slack.

--- a/fleet/admission.cc
+++ b/fleet/admission.cc
@@ -11,8 +11,12 @@
 namespace lentilscale::fleet {
 namespace {
 
-// Share of a job's slack up to which no wait is a reason to refuse it.
-constexpr double kFreeSlackShare = 0.4;
+// Share of a job's slack up to which no wait is a reason to refuse it, and from
+// which on it is refused for certain. The rest is for what the wait leaves out:
+// it is some hundred milliseconds old, and later steps of the jobs ahead add to
+// it.
+constexpr double kFreeSlackShare = 0.25;
+constexpr double kFullSlackShare = 0.75;
 // Jobs with less slack are treated as if they had this much: shorter waits
 // can't be told from none.
 constexpr Millis kMinSlackMs = 200;
@@ -20,21 +24,23 @@
 // The rate of starts may have recovered by then.
 constexpr int kMaxRetryAfterS = 10;
 
-auto FreeWaitMs(Millis slack_ms) -> double {
-  return kFreeSlackShare * static_cast<double>(std::max(slack_ms, kMinSlackMs));
+// Returns the wait that takes up the share of the slack.
+auto WaitAtShare(double share, Millis slack_ms) -> double {
+  return share * static_cast<double>(std::max(slack_ms, kMinSlackMs));
 }
 
 }  // namespace
 
 auto RefusalProbability(Millis wait_ms, Millis slack_ms) -> double {
-  const auto free_ms = FreeWaitMs(slack_ms);
-  const auto slack = static_cast<double>(std::max(slack_ms, kMinSlackMs));
+  const auto free_ms = WaitAtShare(kFreeSlackShare, slack_ms);
+  const auto full_ms = WaitAtShare(kFullSlackShare, slack_ms);
   return std::clamp(
-      (static_cast<double>(wait_ms) - free_ms) / (slack - free_ms), 0.0, 1.0);
+      (static_cast<double>(wait_ms) - free_ms) / (full_ms - free_ms), 0.0, 1.0);
 }
 
 auto RetryAfterS(Millis wait_ms, Millis slack_ms) -> int {
-  const auto excess_ms = wait_ms - static_cast<Millis>(FreeWaitMs(slack_ms));
+  const auto excess_ms =
+      wait_ms - static_cast<Millis>(WaitAtShare(kFreeSlackShare, slack_ms));
   return static_cast<int>(std::clamp<Millis>(
       (excess_ms + kMsPerS - 1) / kMsPerS, 1, kMaxRetryAfterS));
 }
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -31,11 +31,11 @@
 BOOST_AUTO_TEST_CASE(the_share_that_is_refused_rises_with_the_wait) {
   Admission admission(kSeed);
   BOOST_TEST(CountRefused(admission, 0) == 0);
-  BOOST_TEST(CountRefused(admission, 400) == 0);
-  const auto at_700 = CountRefused(admission, 700);
-  BOOST_TEST(at_700 > 0.45 * kDraws);
-  BOOST_TEST(at_700 < 0.55 * kDraws);
-  BOOST_TEST(CountRefused(admission, kSlackMs) == kDraws);
+  BOOST_TEST(CountRefused(admission, 250) == 0);
+  const auto at_half = CountRefused(admission, kSlackMs / 2);
+  BOOST_TEST(at_half > 0.45 * kDraws);
+  BOOST_TEST(at_half < 0.55 * kDraws);
+  BOOST_TEST(CountRefused(admission, 750) == kDraws);
   BOOST_TEST(CountRefused(admission, 60000) == kDraws);
   for (Millis wait = 0; wait < 2 * kSlackMs; wait += 10) {
     BOOST_TEST(RefusalProbability(wait, kSlackMs) <=
@@ -54,8 +54,8 @@
 // Guards against clients that come back while there is no room, or far later.
 BOOST_AUTO_TEST_CASE(clients_are_told_when_there_is_room) {
   BOOST_TEST(RetryAfterS(500, kSlackMs) == 1);
-  BOOST_TEST(RetryAfterS(1400, kSlackMs) == 1);
-  BOOST_TEST(RetryAfterS(1401, kSlackMs) == 2);
+  BOOST_TEST(RetryAfterS(1250, kSlackMs) == 1);
+  BOOST_TEST(RetryAfterS(1251, kSlackMs) == 2);
   BOOST_TEST(RetryAfterS(5000, kSlackMs) == 5);
   BOOST_TEST(RetryAfterS(60000, kSlackMs) == 10);
 }
