Share the tests' raw call whose headers are looked at

fleet_test and overload_admission_test had a copy each. A call that gets no answer now fails fleet_test at once, also when the connection is made and nothing comes back, which it did not before.

--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -4,11 +4,8 @@
 // workers saw no broken promise.
 
 #define BOOST_TEST_MODULE fleet
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
 #include <boost/test/unit_test.hpp>
@@ -23,6 +20,7 @@
 #include "platform/platform_node.h"
 #include "testing/free_address_stand_in.h"
 #include "testing/platform_emulator_stand_in.h"
+#include "testing/raw_call_stand_in.h"
 
 namespace lentilscale::testing {
 namespace {
@@ -154,33 +152,16 @@
   // Hands a job in at `node` on a connection of its own and returns the whole
   // answer as it was sent.
   auto RawSubmit(std::size_t node, const std::string& id) -> std::string {
-    const auto& address = addresses_[node];
-    const auto fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    addr.sin_port = htons(static_cast<std::uint16_t>(
-        std::stoi(address.substr(address.find(':') + 1))));
-    BOOST_REQUIRE_EQUAL(
-        connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)), 0);
     const std::string body =
         R"({"spec":"ms=20","steps":[{"count":1,"cpu":1}]})";
-    const auto text = fmt::format(
-        "POST /q/{} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-a"
-        "\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
-        id, body.size(), body);
-    BOOST_REQUIRE_EQUAL(send(fd, text.data(), text.size(), 0),
-                        static_cast<ssize_t>(text.size()));
-    std::string answer;
-    RunUntil([&] {
-      std::array<char, 4096> buffer{};
-      const auto got = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
-      if (got > 0) {
-        answer.append(buffer.data(), static_cast<std::size_t>(got));
-      }
-      return answer.find("\r\n\r\n") != std::string::npos;
-    });
-    close(fd);
+    const auto answer =
+        RawCall(addresses_[node],
+                fmt::format("POST /q/{} HTTP/1.1\r\nHost: h.example\r\n"
+                            "Authorization: Bearer key-a\r\nContent-Type: "
+                            "application/json\r\nContent-Length: {}\r\n\r\n{}",
+                            id, body.size(), body),
+                [&](const auto& condition) { return RunUntil(condition); });
+    BOOST_REQUIRE(!answer.empty());
     return answer;
   }
 
--- a/testing/overload_admission_test.cc
+++ b/testing/overload_admission_test.cc
@@ -3,13 +3,9 @@
 // one event loop.
 
 #define BOOST_TEST_MODULE overload_admission
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
@@ -21,6 +17,7 @@
 #include "platform/platform_node.h"
 #include "testing/free_address_stand_in.h"
 #include "testing/platform_emulator_stand_in.h"
+#include "testing/raw_call_stand_in.h"
 
 namespace lentilscale::testing {
 namespace {
@@ -134,35 +131,16 @@
                             spec, count, kTaskCpuMilli, of_step, of_job));
   }
 
-  // The same for any call, on a connection of its own.
+  // The same for any call.
   auto Call(std::size_t node, const std::string& method,
             const std::string& queue, const std::string& id,
             const std::string& body) -> std::string {
-    const auto& address = addresses_[node];
-    const auto fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    addr.sin_port = htons(static_cast<std::uint16_t>(
-        std::stoi(address.substr(address.find(':') + 1))));
-    BOOST_REQUIRE_EQUAL(
-        connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)), 0);
-    const auto text = fmt::format(
-        "{} /{}/{} HTTP/1.1\r\nHost: h.example\r\nContent-Type: "
-        "application/json\r\nContent-Length: {}\r\n\r\n{}",
-        method, queue, id, body.size(), body);
-    BOOST_REQUIRE_EQUAL(send(fd, text.data(), text.size(), 0),
-                        static_cast<ssize_t>(text.size()));
-    std::string answer;
-    RunUntil([&] {
-      std::array<char, 4096> buffer{};
-      const auto got = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
-      if (got > 0) {
-        answer.append(buffer.data(), static_cast<std::size_t>(got));
-      }
-      return answer.find("\r\n\r\n") != std::string::npos;
-    });
-    close(fd);
+    const auto answer = RawCall(
+        addresses_[node],
+        fmt::format("{} /{}/{} HTTP/1.1\r\nHost: h.example\r\nContent-Type: "
+                    "application/json\r\nContent-Length: {}\r\n\r\n{}",
+                    method, queue, id, body.size(), body),
+        [&](const auto& condition) { RunUntil(condition); });
     BOOST_REQUIRE(answer.starts_with("HTTP/1.1 "));
     const std::string name = "\r\nretry-after: ";
     const auto at = answer.find(name);
