Let the test of refusals wait until no job is admitted any more

The test took 10 refusals in a row, milliseconds apart, for a wait at which all jobs are refused. It asks for 25 tries now, 100 ms apart and each at both instances: longer than the window by which the rate is measured.

--- a/testing/overload_admission_test.cc
+++ b/testing/overload_admission_test.cc
@@ -33,10 +33,12 @@
 // second, and the backlog takes several times its objective of 20 s.
 constexpr Millis kLateMs = 300;
 // Tries until a backlog has shown how fast it is worked off.
-constexpr int kTries = 60;
+constexpr int kTries = 80;
 constexpr Millis kTryIntervalMs = 100;
-// Refusals one after the other that show that all are refused.
-constexpr int kRefusalsInARow = 10;
+// Tries without an accepted job, each at all instances, that show that all are
+// refused: they last longer than the time for which the rate of starts of
+// before the answers were late counts.
+constexpr int kRefusalsInARow = 25;
 constexpr auto kBacklog = "00000000000000c1";
 
 class Fleet {
@@ -94,20 +96,22 @@
     DelayAnswers(kLateMs);
     BOOST_REQUIRE(Submit(0, "busy", kBacklog, "ms=60000", kTasks) == "200 ");
     std::string refused;
-    for (std::size_t node = 0; node < kNodes; ++node) {
-      auto in_a_row = 0;
-      for (auto i = 0; i < kTries && in_a_row < kRefusalsInARow; ++i) {
+    auto in_a_row = 0;
+    for (auto i = 0; i < kTries && in_a_row < kRefusalsInARow; ++i) {
+      ++in_a_row;
+      for (std::size_t node = 0; node < kNodes; ++node) {
         const auto id = NewId();
-        const auto is_refused =
-            Submit(node, "busy", id, "ms=20", 1).starts_with("503 ");
-        in_a_row = is_refused ? in_a_row + 1 : 0;
-        refused = is_refused ? id : refused;
-        RunFor(is_refused ? 0 : kTryIntervalMs);
+        if (Submit(node, "busy", id, "ms=20", 1).starts_with("503 ")) {
+          refused = id;
+        } else {
+          in_a_row = 0;
+        }
       }
-      BOOST_REQUIRE_MESSAGE(in_a_row == kRefusalsInARow,
-                            "a new job is accepted at node "
-                                << node << " although it must wait too long");
+      RunFor(kTryIntervalMs);
     }
+    BOOST_REQUIRE_MESSAGE(
+        in_a_row == kRefusalsInARow,
+        "new jobs are accepted although they must wait too long");
     return refused;
   }
 
