--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -523,6 +523,7 @@
   // Returns the class in which steps of a new job of the queue wait.
   auto ClassOfNewJobs(const Queue& queue) -> StartClass&;
   // Returns how many tasks of each class would be started before a new job's.
+  // There must be a configuration.
   auto CountTasksAhead(const std::vector<WaitingStep>& steps)
       -> std::map<const StartClass*, std::int64_t>;
   // Updates the expected waits at the end of a placement pass, now and then.
--- a/fleet/dispatcher_backlog.cc
+++ b/fleet/dispatcher_backlog.cc
@@ -6,6 +6,7 @@
 // count is made as part of a placement pass, which knows both.
 
 #include <algorithm>
+#include <string_view>
 
 #include "fleet/dispatcher.h"
 
@@ -46,6 +47,12 @@
 auto Dispatcher::CountTasksAhead(const std::vector<WaitingStep>& steps)
     -> std::map<const StartClass*, std::int64_t> {
   std::map<const StartClass*, std::int64_t> tasks_ahead;
+  std::map<std::string_view, const Team*> limited_teams;
+  for (const auto& team : last_config_->teams_) {
+    if (team.limit_ != Resources{}) {
+      limited_teams[team.name_] = &team;
+    }
+  }
   // What the teams' running tasks and those counted so far take.
   auto used = team_usage_;
   for (const auto& waiting : steps) {
@@ -54,13 +61,12 @@
       continue;
     }
     const auto& demand = step.step_->demand_;
-    const auto* team = last_config_ == nullptr
-                           ? nullptr
-                           : last_config_->FindTeam(step.job_->record().team_);
     auto count = step.waiting_count_;
-    if (team != nullptr && team->limit_ != Resources{}) {
-      auto& used_by_team = used[team->name_];
-      count = CountWithinLimit(used_by_team, demand, team->limit_, count);
+    if (const auto team = limited_teams.find(step.job_->record().team_);
+        team != limited_teams.end()) {
+      auto& used_by_team = used[team->second->name_];
+      count =
+          CountWithinLimit(used_by_team, demand, team->second->limit_, count);
       for (auto i = 0; i < count; ++i) {
         used_by_team += demand;
       }
