Call for advice through an instance without answers after all others

Seen by steps: where an instance did not reach the advice service, one step after the other waited for the time-out of a call through it, 2 s and more, though other instances were free.

Cause: the pause after failures counts from the start of the last call, which a time-out outlasts, and the instance with the fewest open calls, then the first by address, is chosen.

Evidence: an_instance_without_answers_is_chosen_after_all_others of advice_plan_test failed before: the silent instance was chosen for 6 of 6 calls.

Change: instances whose last call got no answer come after all others. They are not left out, so that nothing is lost where no instance gets answers.

Measured: the silent instance is chosen for 1 of these 6 calls.

--- a/fleet/advice_balancer.cc
+++ b/fleet/advice_balancer.cc
@@ -1,10 +1,15 @@
 // A slot is found by a linear search over a few dozen instances. The reserved
 // slots are those of the first instances by address. This instance sorts first,
 // so that urgent calls need no extra hop while its slot is free.
+//
+// An instance whose last call got no answer is chosen after all others: if it
+// still gets none, the step loses the time of a whole call. It is not left out,
+// since where no instance gets answers, all are as good.
 
 #include "fleet/advice_balancer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilscale::fleet {
 namespace {
@@ -58,9 +63,12 @@
       free.push_back(&instance);
     }
   }
+  const auto order = [](const Instance& instance) {
+    return std::pair(instance.consecutive_failures_ > 0, instance.open_calls_);
+  };
   std::stable_sort(free.begin(), free.end(),
-                   [](const Instance* a, const Instance* b) {
-                     return a->open_calls_ < b->open_calls_;
+                   [&order](const Instance* a, const Instance* b) {
+                     return order(*a) < order(*b);
                    });
   return free;
 }
--- a/testing/advice_plan_test.cc
+++ b/testing/advice_plan_test.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fleet/advice_balancer.h"
@@ -197,4 +198,42 @@
   BOOST_TEST(AdviceRank({2, 3, 0, true}) > AdviceRank(kUrgent));
 }
 
+// Guards against an instance that gets no answers and is chosen again at once,
+// so that each step that it serves loses the time-out of a call.
+BOOST_AUTO_TEST_CASE(an_instance_without_answers_is_chosen_after_all_others) {
+  std::vector<std::string> chosen;
+  AdviceGateway::Callback answer;
+  AdviceBalancer balancer(
+      nullptr, [&](const std::string& address, const AdviceRequest& /*request*/,
+                   AdviceGateway::Callback callback) {
+        chosen.push_back(address);
+        answer = std::move(callback);
+      });
+  // Calls that take as long as a time-out, longer than the pause after
+  // failures.
+  constexpr Millis kCallMs = 2300;
+  constexpr auto kCalls = 6;
+  constexpr auto kSilent = "10.0.0.1:1";
+  for (auto i = 0; i < kCalls; ++i) {
+    const auto now = kCallMs * (i + 1);
+    balancer.MarkInstanceLive(kSilent, now);
+    balancer.MarkInstanceLive("10.0.0.2:1", now);
+    BOOST_REQUIRE(balancer.RequestAdvice({}, now, {[](const auto&) {}}));
+    AdviceResult result;
+    result.is_answered_ = chosen.back() != kSilent;
+    std::exchange(answer, nullptr)(result);
+  }
+  BOOST_TEST(std::count(chosen.begin(), chosen.end(), kSilent) == 1);
+  // With the other one busy it gets a call, and an answer makes up for it.
+  const auto now = kCallMs * kCalls;
+  BOOST_TEST(balancer.RequestAdvice({}, now, {[](const auto&) {}}));
+  BOOST_TEST(balancer.RequestAdvice({}, now, {[](const auto&) {}}));
+  BOOST_TEST(chosen.back() == kSilent);
+  AdviceResult result;
+  result.is_answered_ = true;
+  std::exchange(answer, nullptr)(result);
+  BOOST_TEST(balancer.RequestAdvice({}, now, {[](const auto&) {}}));
+  BOOST_TEST(chosen.back() == kSilent);
+}
+
 }  // namespace lentilscale::fleet
