Expect a wait only of classes that a pass leaves held back

Cause: a class counted as held back if a step of it was in the first visit of a pass, where it needs credit, also if the same pass started the step from what others had left.

--- a/fleet/dispatcher_backlog.cc
+++ b/fleet/dispatcher_backlog.cc
@@ -95,7 +95,7 @@
   }
   for (const auto& [start_class, count] : tasks_ahead) {
     const auto is_held_back =
-        now_ms - start_class->held_back_ms_ <= kHeldBackMemoryMs;
+        now_ms - start_class->left_held_back_ms_ <= kHeldBackMemoryMs;
     class_backlogs_[start_class].Update(
         {is_held_back, start_class->started_, count}, now_ms);
   }
--- a/fleet/start_shares.cc
+++ b/fleet/start_shares.cc
@@ -125,6 +125,9 @@
   auto is_any_held_back = false;
   for (auto& [key, start_class] : classes_) {
     is_any_held_back |= start_class.is_held_back_;
+    if (start_class.is_held_back_) {
+      start_class.left_held_back_ms_ = now_ms_;
+    }
     start_class.is_backlogged_ = start_class.is_long_held_back_;
     start_class.is_held_back_ = false;
     start_class.is_long_held_back_ = false;
--- a/fleet/start_shares.h
+++ b/fleet/start_shares.h
@@ -89,6 +89,9 @@
   bool is_held_back_ = false;
   // When a step was last held back; 0 if none was.
   Millis held_back_ms_ = 0;
+  // When a pass last ended with a step held back, so that not even what others
+  // had left was enough; 0 if none did.
+  Millis left_held_back_ms_ = 0;
   StartRate rate_ = {};
   // Starts in all.
   std::int64_t started_ = 0;
--- a/testing/start_shares_test.cc
+++ b/testing/start_shares_test.cc
@@ -111,6 +111,25 @@
   }
 }
 
+// Guards against jobs that are refused for load although their class waits for
+// nothing but its turn within a pass.
+BOOST_AUTO_TEST_CASE(a_class_that_starts_from_the_rest_is_not_left_held_back) {
+  StartShares shares;
+  auto& start_class = shares.ClassOf({"a", 0});
+  shares.BeginPass(2, 1, 1);
+  shares.OnHeldBack(start_class, false);
+  shares.ReleaseRest();
+  shares.OnStarted(start_class, 1);
+  shares.EndPass();
+  BOOST_TEST(start_class.left_held_back_ms_ == 0);
+  shares.BeginPass(1, 1, 2);
+  shares.ReleaseRest();
+  shares.OnStarted(start_class, 1);
+  shares.OnHeldBack(start_class, false);
+  shares.EndPass();
+  BOOST_TEST(start_class.left_held_back_ms_ == 2);
+}
+
 // Guards against tickets that lapse unused and are asked for again.
 BOOST_AUTO_TEST_CASE(a_class_asks_for_what_it_can_start) {
   StartShares shares;
