--- a/testing/free_address_stand_in.h
+++ b/testing/free_address_stand_in.h
@@ -7,7 +7,8 @@
 
 namespace lentilscale::testing {
 
-// Returns "127.0.0.1:PORT" with a port that nobody listens on.
+// Returns "127.0.0.1:PORT" with a port that nobody listens on, and that no
+// other call, also of another process, returns until this process ends.
 auto FreeAddress() -> std::string;
 
 }  // namespace lentilscale::testing
