--- a/testing/overload_admission_test.cc
+++ b/testing/overload_admission_test.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lentilscale/log.h"
@@ -140,7 +141,12 @@
         fmt::format("{} /{}/{} HTTP/1.1\r\nHost: h.example\r\nContent-Type: "
                     "application/json\r\nContent-Length: {}\r\n\r\n{}",
                     method, queue, id, body.size(), body),
-        [&](const auto& condition) { RunUntil(condition); });
+        [&](const auto& condition) {
+          if (const auto action = std::exchange(before_next_answer_, nullptr)) {
+            action();
+          }
+          RunUntil(condition);
+        });
     BOOST_REQUIRE(answer.starts_with("HTTP/1.1 "));
     const std::string name = "\r\nretry-after: ";
     const auto at = answer.find(name);
@@ -165,6 +171,11 @@
     RunUntil([] { return false; }, ms);
   }
 
+  // Runs `action` while the next call waits for its answer.
+  auto BeforeNextAnswer(std::function<void()> action) -> void {
+    before_next_answer_ = std::move(action);
+  }
+
   auto CheckPromises() -> void {
     const auto& violations = platform_.violations();
     BOOST_TEST(violations.empty(),
@@ -178,6 +189,7 @@
   std::vector<std::string> addresses_;
   std::vector<std::unique_ptr<platform::PlatformNode>> nodes_;
   int last_id_ = 0;
+  std::function<void()> before_next_answer_;
 };
 
 }  // namespace
@@ -238,4 +250,61 @@
   fleet.CheckPromises();
 }
 
+// Guards against a client that is told that its job never runs while another
+// instance still writes it: its connection there broke, so it came again.
+BOOST_AUTO_TEST_CASE(a_job_that_another_instance_writes_is_not_said_to_never_run,
+                     *boost::unit_test::disabled()) {
+  constexpr Millis kWriteMs = 1000;
+  constexpr Millis kReadMs = 200;
+  Fleet fleet;
+  fleet.MakeBacklog();
+  const auto id = fleet.NewId();
+  auto& store = fleet.platform().store();
+  // The first instance can't look the job up, so it is admitted.
+  store.SetRangeRefused("ls/in/job/" + id, true);
+  // Writes of the owner may come first.
+  store.CarryOutLate(3, kWriteMs);
+  std::string second;
+  fleet.BeforeNextAnswer([&] {
+    fleet.RunFor(kReadMs);
+    store.SetRangeRefused("ls/in/job/" + id, false);
+    BOOST_TEST(!store.HasPrefix("ls/in/job/" + id));
+    second = fleet.Submit(1, "busy", id, "ms=20", 1);
+  });
+  const auto first = fleet.Submit(0, "busy", id, "ms=20", 1);
+  fleet.RunFor(2 * kWriteMs);
+  BOOST_TEST_MESSAGE("first " << first << ", second " << second);
+  BOOST_TEST((!second.starts_with("503 ") ||
+              !store.HasPrefix("ls/in/job/" + id)));
+}
+
+// Guards against refusals for tasks that wait for a worker with their label: a
+// new job without one starts before them.
+BOOST_AUTO_TEST_CASE(tasks_that_no_worker_may_run_delay_nobody,
+                     *boost::unit_test::disabled()) {
+  constexpr auto kShortBacklog = 200;
+  for (const auto is_any_unplaceable : {false, true}) {
+    Fleet fleet;
+    if (is_any_unplaceable) {
+      BOOST_REQUIRE(fleet.Submit(0, "busy", kBacklog, "ms=20", kTasks,
+                                 R"(,"requires":"absent")") == "200 ");
+    }
+    fleet.DelayAnswers(kLateMs);
+    BOOST_REQUIRE(fleet.Submit(0, "busy", fleet.NewId(), "ms=20",
+                               kShortBacklog) == "200 ");
+    auto refused = 0;
+    for (auto i = 0; i < kTries; ++i) {
+      refused += fleet.Submit(0, "busy", fleet.NewId(), "ms=20", 1)
+                         .starts_with("503 ")
+                     ? 1
+                     : 0;
+      fleet.RunFor(kTryIntervalMs);
+    }
+    BOOST_TEST_CONTEXT((is_any_unplaceable ? "beside" : "without")
+                       << " tasks that no worker may run") {
+      BOOST_TEST(refused == 0);
+    }
+  }
+}
+
 }  // namespace lentilscale::testing
