--- a/fleet/admission.h
+++ b/fleet/admission.h
@@ -3,9 +3,9 @@
 // The owner of the fleet says how long a new job of each queue is expected to
 // wait for its starts (dispatcher_backlog.cc); it reaches all instances in the
 // answers to their reports. The more of a job's slack, the time that its
-// objective leaves beside its own work, that wait takes up, the likelier the job
-// is refused before anything of it is stored; its client is told when the queue
-// is expected to have room.
+// objective leaves beside its own work, that wait takes up, the likelier the
+// job is refused before anything of it is stored; its client is told when the
+// queue is expected to have room.
 //
 //   admission.Update(answer.expected_waits_, answer.sent_ms_);
 //   const auto wait_ms = admission.WaitMs(queue, BootMs());
