--- a/testing/lasting_takeover_test.cc
+++ b/testing/lasting_takeover_test.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
 constexpr int kOwners = 6;
 constexpr std::int64_t kWorkerCpuMilli = 16000;
 constexpr std::int64_t kTaskCpuMilli = 1000;
+// Urgent work, and the time that answers to its starts take: more than the
+// window of awaited starts allows for.
+constexpr auto kBacklogJobs = 120;
+constexpr auto kTasksPerBacklogJob = 25;
+constexpr Millis kSlowAnswerMs = 300;
 // Lasting jobs: one with a task on each worker, and one with a single task.
 constexpr const char* kSpreadJob = "00000000000000a1";
 constexpr const char* kSingleJob = "00000000000000a2";
@@ -148,6 +154,18 @@
     return "";
   }
 
+  // Hands in urgent work for longer than a case lasts. Its starts are held back
+  // while there is room on the workers.
+  auto SubmitBacklog() -> void {
+    for (const auto& id : workers_) {
+      platform_->worker(id).DelayOrderAnswers(kSlowAnswerMs);
+    }
+    for (auto i = 0; i < kBacklogJobs; ++i) {
+      Submit("urgent", fmt::format("{:016x}", 0xb00 + i), kTasksPerBacklogJob,
+             "ms=20", "");
+    }
+  }
+
   auto CheckPromises() -> void {
     for (const auto& violation : platform_->violations()) {
       BOOST_ERROR(violation);
@@ -204,6 +222,27 @@
          fleet.platform().StartsOf(kSingleJob) == 2;
 }
 
+// Kills the owner and its successors, each kOwnerLifeMs after its claim, until
+// what AreRestarted asks for holds; returns false if it never does.
+auto IsRestartedByChain(LastingFleet& fleet, int lost_workers) -> bool {
+  for (auto owners = 1; owners <= kOwners; ++owners) {
+    fleet.KillOwner();
+    if (fleet.RunUntil([&] { return AreRestarted(fleet, lost_workers); },
+                       kOwnerLifeMs)) {
+      BOOST_TEST_MESSAGE("running again under owner " << owners);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Without a backlog to the end, a case shows nothing about it.
+auto CheckBacklogWaits(LastingFleet& fleet) -> void {
+  const auto done = fleet.platform().done_count();
+  BOOST_TEST(done < kBacklogJobs * kTasksPerBacklogJob);
+  BOOST_TEST_MESSAGE("running again after " << done << " urgent tasks");
+}
+
 }  // namespace
 
 // Guards against lasting tasks that stay down for as long as owners follow each
@@ -217,44 +256,42 @@
   fleet.platform().worker(restarted).Restart();
   // The task of the silent worker needs another one.
   fleet.platform().AddWorker("i-new", "s", kWorkerCpuMilli, 0);
-  auto owners = 0;
-  auto is_restarted = false;
-  while (owners < kOwners && !is_restarted) {
-    fleet.KillOwner();
-    ++owners;
-    is_restarted =
-        fleet.RunUntil([&] { return AreRestarted(fleet, 2); }, kOwnerLifeMs);
-  }
-  BOOST_TEST(is_restarted);
-  BOOST_TEST_MESSAGE("running again under owner " << owners);
+  BOOST_TEST(IsRestartedByChain(fleet, 2));
   fleet.CheckPromises();
 }
 
 // Guards against a lasting task that waits behind a backlog of urgent work as
 // its owner takes over.
 BOOST_AUTO_TEST_CASE(a_lapsed_task_goes_before_a_backlog_at_a_take_over) {
-  constexpr auto kJobs = 60;
-  constexpr auto kTasksPerJob = 25;
   LastingFleet fleet(3, 12);
   const auto lost = fleet.StartLastingJobs();
-  // Starts are held back while there is room on the workers.
-  for (const auto& id : fleet.workers()) {
-    fleet.platform().worker(id).DelayOrderAnswers(300);
-  }
-  for (auto i = 0; i < kJobs; ++i) {
-    fleet.Submit("urgent", fmt::format("{:016x}", 0xb00 + i), kTasksPerJob,
-                 "ms=20", "");
-  }
+  fleet.SubmitBacklog();
   fleet.platform().AddWorker("i-new", "s", kWorkerCpuMilli, 0);
   fleet.platform().worker(lost).SetCut(true);
   fleet.KillOwner();
-  const auto is_restarted =
-      fleet.RunUntil([&] { return AreRestarted(fleet, 1); });
-  const auto done = fleet.platform().done_count();
-  BOOST_TEST(is_restarted);
-  // Otherwise the case shows nothing.
-  BOOST_TEST(done < kJobs * kTasksPerJob);
-  BOOST_TEST_MESSAGE("running again after " << done << " tasks");
+  BOOST_TEST(fleet.RunUntil([&] { return AreRestarted(fleet, 1); }));
+  CheckBacklogWaits(fleet);
+  fleet.CheckPromises();
+}
+
+// Guards against either where both meet: a third of the workers is lost as the
+// first of several owners is killed in a backlog.
+BOOST_AUTO_TEST_CASE(lasting_tasks_come_back_in_a_chain_and_a_backlog) {
+  constexpr auto kLostWorkers = 4;
+  LastingFleet fleet(kOwners + 1, 12);
+  auto lost = std::set<std::string>{fleet.StartLastingJobs()};
+  for (const auto& id : fleet.workers()) {
+    if (lost.size() < kLostWorkers) {
+      lost.insert(id);
+    }
+  }
+  fleet.SubmitBacklog();
+  for (const auto& id : lost) {
+    fleet.platform().AddWorker(id + "-new", "s", kWorkerCpuMilli, 0);
+    fleet.platform().worker(id).SetCut(true);
+  }
+  BOOST_TEST(IsRestartedByChain(fleet, kLostWorkers));
+  CheckBacklogWaits(fleet);
   fleet.CheckPromises();
 }
 
