Refuse for load from half of the slack on, and take a class's share for its rate

Refused clients come back after a second at the earliest, which is most of a short job's slack; and a class that starts little as its gangs wait for room was taken for one that the owner starts slowly.

Change: the share that is refused rises from half of the slack to the whole of it.

--- a/fleet/admission.cc
+++ b/fleet/admission.cc
@@ -15,8 +15,8 @@
 // which on it is refused for certain. The rest is for what the wait leaves out:
 // it is some hundred milliseconds old, and later steps of the jobs ahead add to
 // it.
-constexpr double kFreeSlackShare = 0.25;
-constexpr double kFullSlackShare = 0.75;
+constexpr double kFreeSlackShare = 0.5;
+constexpr double kFullSlackShare = 1.0;
 // Jobs with less slack are treated as if they had this much: shorter waits
 // can't be told from none.
 constexpr Millis kMinSlackMs = 200;
--- a/fleet/class_backlog.cc
+++ b/fleet/class_backlog.cc
@@ -16,6 +16,7 @@
 // waited, or nothing could be started.
 constexpr Millis kMaxCountGapMs = 300;
 constexpr Millis kMaxWaitMs = 60000;
+constexpr double kMsPerS = 1000;
 
 }  // namespace
 
@@ -38,8 +39,13 @@
     return;
   }
   const auto started =
-      std::max<std::int64_t>(1, sample.started_ - counts_.front().started_);
-  wait_ms_ = std::min(kMaxWaitMs, sample.tasks_ahead_ * window_ms / started);
+      static_cast<double>(sample.started_ - counts_.front().started_);
+  const auto per_ms = std::max({started / static_cast<double>(window_ms),
+                                sample.share_per_s_ / kMsPerS,
+                                1.0 / static_cast<double>(window_ms)});
+  wait_ms_ = static_cast<Millis>(
+      std::min(static_cast<double>(kMaxWaitMs),
+               static_cast<double>(sample.tasks_ahead_) / per_ms));
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/class_backlog.h
+++ b/fleet/class_backlog.h
@@ -2,12 +2,15 @@
 // the owner sends no more starts for now.
 //
 //   // After a placement pass:
-//   backlog.Update({is_held_back, starts_so_far, tasks_ahead}, BootMs());
+//   backlog.Update({is_held_back, starts_so_far, tasks_ahead, share_per_s},
+//                  BootMs());
 //   backlog.WaitMs();  // 0 unless starts have been held back for a while
 //
 // The rate at which the owner starts tasks of the class is measured only while
 // it holds some back: otherwise it says how much work there is, and not how
-// much the owner can send. So a short burst has no expected wait yet.
+// much the owner can send. So a short burst has no expected wait yet. Where the
+// class has started less than its share of all starts, it waited for something
+// else, and its share is taken for its rate.
 
 #ifndef LENTILSCALE_FLEET_CLASS_BACKLOG_H_
 #define LENTILSCALE_FLEET_CLASS_BACKLOG_H_
@@ -28,6 +31,8 @@
     std::int64_t started_ = 0;
     // Tasks that wait and would be started before those of a new job.
     std::int64_t tasks_ahead_ = 0;
+    // Starts a second that the class may have whatever others wait for.
+    double share_per_s_ = 0;
   };
 
   auto Update(const Sample& sample, Millis now_ms) -> void;
--- a/fleet/dispatcher_backlog.cc
+++ b/fleet/dispatcher_backlog.cc
@@ -97,7 +97,9 @@
     const auto is_held_back =
         now_ms - start_class->left_held_back_ms_ <= kHeldBackMemoryMs;
     class_backlogs_[start_class].Update(
-        {is_held_back, start_class->started_, count}, now_ms);
+        {is_held_back, start_class->started_, count,
+         start_shares_.SharePerS(*start_class)},
+        now_ms);
   }
   for (const auto& queue : last_config_->queues_) {
     if (const auto wait_ms = class_backlogs_[&ClassOfNewJobs(queue)].WaitMs();
--- a/fleet/start_shares.cc
+++ b/fleet/start_shares.cc
@@ -138,6 +138,10 @@
   return is_any_held_back;
 }
 
+auto StartShares::SharePerS(const StartClass& start_class) const -> double {
+  return EarnsCredit(start_class) ? start_class.share_ * rate_.PerSecond() : 0;
+}
+
 auto StartShares::MayRequestAdvice(const StartClass& start_class, int window,
                                    Millis valid_ms) const -> bool {
   if (start_class.held_back_ms_ == 0 ||
--- a/fleet/start_shares.h
+++ b/fleet/start_shares.h
@@ -141,6 +141,10 @@
   auto MayRequestAdvice(const StartClass& start_class, int window,
                         Millis valid_ms) const -> bool;
 
+  // Returns the starts a second that the class may have whatever others wait
+  // for; 0 if it has no share, as nothing of it has waited for long.
+  auto SharePerS(const StartClass& start_class) const -> double;
+
   // Starts that were sent in this pass.
   auto sent() const -> int { return sent_; }
 
