Refuse new jobs while the accepted work would take the owner more than 5 s to start

Change: what all waiting work of a queue's classes would take beyond 5 s counts as expected wait, so that the share that is refused rises until the backlog stops growing. admission_test has the sum of both classes.

--- a/fleet/class_backlog.cc
+++ b/fleet/class_backlog.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 auto ClassBacklog::Update(const Sample& sample, Millis now_ms) -> void {
-  wait_ms_ = 0;
+  tasks_ahead_ = sample.tasks_ahead_;
+  per_ms_ = 0;
   if (!sample.is_held_back_) {
     counts_.clear();
     return;
@@ -40,12 +41,25 @@
   }
   const auto started =
       static_cast<double>(sample.started_ - counts_.front().started_);
-  const auto per_ms = std::max({started / static_cast<double>(window_ms),
-                                sample.share_per_s_ / kMsPerS,
-                                1.0 / static_cast<double>(window_ms)});
-  wait_ms_ = static_cast<Millis>(
-      std::min(static_cast<double>(kMaxWaitMs),
-               static_cast<double>(sample.tasks_ahead_) / per_ms));
+  per_ms_ = std::max({started / static_cast<double>(window_ms),
+                      sample.share_per_s_ / kMsPerS,
+                      1.0 / static_cast<double>(window_ms)});
+}
+
+auto ClassBacklog::WaitMs(std::initializer_list<const ClassBacklog*> classes)
+    -> Millis {
+  std::int64_t tasks = 0;
+  auto per_ms = 0.0;
+  for (const auto* backlog : classes) {
+    if (backlog->per_ms_ > 0) {
+      tasks += backlog->tasks_ahead_;
+      per_ms += backlog->per_ms_;
+    }
+  }
+  return per_ms == 0 ? 0
+                     : static_cast<Millis>(
+                           std::min(static_cast<double>(kMaxWaitMs),
+                                    static_cast<double>(tasks) / per_ms));
 }
 
 }  // namespace lentilscale::fleet
--- a/fleet/class_backlog.h
+++ b/fleet/class_backlog.h
@@ -17,6 +17,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <initializer_list>
 
 #include "lentilscale/clock.h"
 
@@ -37,7 +38,10 @@
 
   auto Update(const Sample& sample, Millis now_ms) -> void;
   // Returns the expected wait as of the last update.
-  auto WaitMs() const -> Millis { return wait_ms_; }
+  auto WaitMs() const -> Millis { return WaitMs({this}); }
+  // Returns the wait for all work of classes that are started side by side.
+  static auto WaitMs(std::initializer_list<const ClassBacklog*> classes)
+      -> Millis;
 
  private:
   struct Count {
@@ -46,7 +50,9 @@
   };
   // Since starts have been held back, at most for the last kRateWindowMs.
   std::deque<Count> counts_;
-  Millis wait_ms_ = 0;
+  // As of the last update; the rate is 0 if it is not known.
+  std::int64_t tasks_ahead_ = 0;
+  double per_ms_ = 0;
 };
 
 }  // namespace lentilscale::fleet
--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -550,9 +550,9 @@
   auto SummarizeServices(Millis now_ms) -> void;
 
   // dispatcher_backlog.cc
-  // Returns the class in which steps of a new job of the queue wait.
-  auto ClassOfNewJobs(const Queue& queue) -> StartClass&;
-  // Returns how many tasks of each class would be started before a new job's.
+  // Returns the backlog of the queue's steps that can be in time, or are late.
+  auto BacklogOf(const Queue& queue, Lateness lateness) -> ClassBacklog&;
+  // Returns how many tasks of each class wait for their starts alone.
   // There must be a configuration.
   auto CountTasksAhead(const std::vector<WaitingStep>& steps)
       -> std::map<const StartClass*, std::int64_t>;
--- a/fleet/dispatcher_backlog.cc
+++ b/fleet/dispatcher_backlog.cc
@@ -1,9 +1,13 @@
 // How long a new job of each queue would wait for its starts.
 //
 // Ahead of it are the tasks of its class that wait and can still be on time:
-// those of late jobs yield to it. Tasks that wait for something else, for room
-// on a worker or for their team's limit, delay nobody, and are not counted. The
-// count is made as part of a placement pass, which knows both.
+// those of late jobs yield to it. They count only once there are so many that
+// they would take kMaxDrainMs; as new jobs become late themselves under a
+// lasting overload, nothing else would bound them.
+//
+// Tasks that wait for something else, for room on a worker or for their team's
+// limit, delay nobody, and are not counted. The count is made as part of a
+// placement pass, which knows both.
 
 #include <algorithm>
 #include <string_view>
@@ -18,6 +22,10 @@
 constexpr Millis kBacklogIntervalMs = 100;
 // Starts of a class count as held back for this long after the last one was.
 constexpr Millis kHeldBackMemoryMs = 300;
+// Time within which the owner should be able to start all that was accepted,
+// late work included: what waits for longer is lost, and each job that is
+// accepted beyond that adds to it.
+constexpr Millis kMaxDrainMs = 5000;
 // Age at which the last count says nothing any more.
 constexpr Millis kMaxBacklogAgeMs = 1000;
 
@@ -40,9 +48,10 @@
 
 }  // namespace
 
-auto Dispatcher::ClassOfNewJobs(const Queue& queue) -> StartClass& {
-  return start_shares_.ClassOf(
-      {queue.service_, queue.priority_, Lateness::kInTime});
+auto Dispatcher::BacklogOf(const Queue& queue, Lateness lateness)
+    -> ClassBacklog& {
+  return class_backlogs_[&start_shares_.ClassOf(
+      {queue.service_, queue.priority_, lateness})];
 }
 
 auto Dispatcher::CountTasksAhead(const std::vector<WaitingStep>& steps)
@@ -71,7 +80,7 @@
   auto used = team_usage_;
   for (const auto& waiting : steps) {
     const auto& step = *waiting.step_;
-    if (step.is_late_ || IsInfeasible(step, *waiting.queue_) ||
+    if (IsInfeasible(step, *waiting.queue_) ||
         !has_label(waiting.queue_->service_, step.step_->required_label_)) {
       continue;
     }
@@ -104,8 +113,8 @@
     return;
   }
   auto tasks_ahead = CountTasksAhead(steps);
-  for (const auto& queue : last_config_->queues_) {
-    tasks_ahead.try_emplace(&ClassOfNewJobs(queue), 0);
+  for (const auto& [start_class, backlog] : class_backlogs_) {
+    tasks_ahead.try_emplace(start_class, 0);
   }
   for (const auto& [start_class, count] : tasks_ahead) {
     const auto is_held_back =
@@ -116,7 +125,11 @@
         now_ms);
   }
   for (const auto& queue : last_config_->queues_) {
-    if (const auto wait_ms = class_backlogs_[&ClassOfNewJobs(queue)].WaitMs();
+    const auto& in_time = BacklogOf(queue, Lateness::kInTime);
+    const auto& late = BacklogOf(queue, Lateness::kLate);
+    if (const auto wait_ms =
+            std::max(in_time.WaitMs(),
+                     ClassBacklog::WaitMs({&in_time, &late}) - kMaxDrainMs);
         wait_ms > 0) {
       expected_waits_[queue.name_] = wait_ms;
     }
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -122,6 +122,23 @@
   BOOST_TEST(backlog.WaitMs() == 500);
 }
 
+// Guards against late work that grows without bound, as what is accepted
+// becomes late in its turn.
+BOOST_AUTO_TEST_CASE(late_work_counts_with_what_can_be_in_time) {
+  ClassBacklog in_time;
+  ClassBacklog late;
+  for (Millis now = 0; now <= 1000; now += 100) {
+    in_time.Update({true, now / 2, 100}, now);
+    late.Update({true, now / 10, 5900}, now);
+  }
+  BOOST_TEST(in_time.WaitMs() == 200);
+  BOOST_TEST(late.WaitMs() == 59000);
+  BOOST_TEST(ClassBacklog::WaitMs({&in_time, &late}) == 10000);
+  // Of late work alone starts are held back.
+  in_time.Update({false, 500, 0}, 1100);
+  BOOST_TEST(ClassBacklog::WaitMs({&in_time, &late}) == 59000);
+}
+
 // Guards against refusals of what has room: the owner counts only while steps
 // wait and it has rights, so that counts from before a pause stay. Starts are
 // held back again from 11,000 ms on, which is too short for a rate.
