--- a/fleet/dispatcher_backlog.cc
+++ b/fleet/dispatcher_backlog.cc
@@ -26,6 +26,9 @@
 // late work included: what waits for longer is lost, and each job that is
 // accepted beyond that adds to it.
 constexpr Millis kMaxDrainMs = 5000;
+// Part of what is beyond that by which a new job waits longer: late work has
+// about that share of the starts.
+constexpr double kDrainWeight = 0.25;
 // Age at which the last count says nothing any more.
 constexpr Millis kMaxBacklogAgeMs = 1000;
 
@@ -127,9 +130,11 @@
   for (const auto& queue : last_config_->queues_) {
     const auto& in_time = BacklogOf(queue, Lateness::kInTime);
     const auto& late = BacklogOf(queue, Lateness::kLate);
-    if (const auto wait_ms =
-            std::max(in_time.WaitMs(),
-                     ClassBacklog::WaitMs({&in_time, &late}) - kMaxDrainMs);
+    const auto drain_ms = ClassBacklog::WaitMs({&in_time, &late});
+    if (const auto wait_ms = std::max(
+            in_time.WaitMs(),
+            static_cast<Millis>(kDrainWeight *
+                                static_cast<double>(drain_ms - kMaxDrainMs)));
         wait_ms > 0) {
       expected_waits_[queue.name_] = wait_ms;
     }
