Refuse a list of instances whose removed ones have no ids, instead of ending

What callers would see: the process ends, as JsonCpp throws what the list's reader does not catch. Evidence: odd_records_test, an_odd_removed_instance_is_refused, failed with Json::LogicError before. Change: the ids are checked before anything is applied.

--- a/fleet/advice_plan.cc
+++ b/fleet/advice_plan.cc
@@ -31,6 +31,7 @@
 constexpr double kFutureRoomFactor = 2;
 // Bounds how far a step falls behind, in priorities.
 constexpr double kMaxRoundPenalty = 8;
+// Steps that can be in time and ask for each late one.
 constexpr int kInTimeTurnsPerLateTurn = 3;
 // Time without a call that makes up for one round.
 constexpr double kRoundRecoveryMs = 500;
--- a/lentilscale/instance_list.cc
+++ b/lentilscale/instance_list.cc
@@ -70,14 +70,21 @@
     for (const auto& item : GetArray(body, "instances")) {
       changed.push_back(WorkerInfo::FromJson(item));
     }
+    std::vector<std::string> removed;
+    for (const auto& id : GetArray(body, "removed")) {
+      if (!id.isString()) {
+        throw Error(ErrorCode::kBadRequest, "a removed instance has no id");
+      }
+      removed.push_back(id.asString());
+    }
     if (is_full) {
       known_.clear();
     }
     for (const auto& info : changed) {
       known_[info.id_] = info;
     }
-    for (const auto& id : GetArray(body, "removed")) {
-      known_.erase(id.asString());
+    for (const auto& id : removed) {
+      known_.erase(id);
     }
     version_ = version;
     return true;
--- a/testing/dispatcher_benchmark.cc
+++ b/testing/dispatcher_benchmark.cc
@@ -150,7 +150,7 @@
         call_us_(call_us),
         store_(this, &times_),
         config_(std::make_shared<FleetConfig>()) {
-    AddQueue("tick", "s", 0, 300);
+    AddQueue("urgent", "s", 0, 300);
     AddQueue("batch", "t", 2, 3000);
     AddWorkers("s", kServingWorkers);
     AddWorkers("t", kBatchWorkers);
@@ -352,7 +352,7 @@
     JobRecord record;
     const auto number = ++submitted_;
     record.id_ = fmt::format("{:016x}", number * 0x9e3779b97f4a7c15ULL);
-    record.queue_ = number % kBatchJobDivisor == 0 ? "batch" : "tick";
+    record.queue_ = number % kBatchJobDivisor == 0 ? "batch" : "urgent";
     record.spec_ = "ms=300";
     record.accepted_ms_ = WallMs();
     Step step;
--- a/testing/odd_records_test.cc
+++ b/testing/odd_records_test.cc
@@ -456,6 +456,25 @@
   }
 }
 
+// Guards against: an item of the list of removed instances ends the process.
+BOOST_AUTO_TEST_CASE(an_odd_removed_instance_is_refused) {
+  Caller caller;
+  for (const auto* value : {"{}", "[]", "[1]", R"({"id":"w-1"})"}) {
+    BOOST_TEST_CONTEXT(value) {
+      caller.server_.Answer(
+          200, fmt::format(R"({{"version":1,"instances":[],"removed":[{}]}})",
+                           value));
+      InstanceList list(&caller.client_, caller.server_.address());
+      std::optional<bool> is_list;
+      list.Read([&](const std::vector<WorkerInfo>* workers) {
+        is_list = workers != nullptr;
+      });
+      BOOST_REQUIRE(RunUntil([&] { return is_list.has_value(); }));
+      BOOST_TEST(!*is_list);
+    }
+  }
+}
+
 // A value that cannot be read is refused, and the next text is read as usual.
 BOOST_AUTO_TEST_CASE(odd_values_in_an_entry_are_refused_or_ignored) {
   for (const auto& value : OddValues()) {
