Take unknown workers into account in team limits at a take-over

Cause: a new owner counts what workers that have answered run. Since jobs in time go first, it starts new ones while many workers are still unknown.

Evidence: fleet_test, a_team_stays_within_its_limit_at_a_take_over: 3 of 4 workers are cut as the owner is killed; the successor starts a team's new job beside its full limit. It fails on the former code.

Change: until all workers have answered, the usage on the others is taken to be in proportion, and below half of them a team with a limit starts nothing.

--- a/fleet/dispatcher.h
+++ b/fleet/dispatcher.h
@@ -586,6 +586,12 @@
   auto FindBestWorker(const StepRun& step, const Queue& queue,
                       const std::string& avoided_worker, Millis now_ms)
       -> FleetWorker*;
+  // Returns the share of the workers that have told this owner what they run;
+  // less than 1 until the take-over is over.
+  auto KnownWorkerShare() const -> double;
+  // Returns true if the team may start tasks of that demand. Until all workers
+  // have told what they run, what the others run for it is taken to be in
+  // proportion.
   auto IsWithinTeamLimit(const std::string& team, const Resources& demand) const
       -> bool;
   auto MakeWorkersExclusive(StepRun& step, const Queue& queue, int tasks,
--- a/fleet/dispatcher_placement.cc
+++ b/fleet/dispatcher_placement.cc
@@ -42,6 +42,10 @@
   return std::max<std::size_t>(1, workers / kExclusiveWorkerDivisor);
 }
 
+// Teams with a limit start nothing after a take-over before this share of the
+// workers has told what it runs.
+constexpr double kMinKnownWorkerShare = 0.5;
+
 }  // namespace
 
 auto Dispatcher::MayIgnoreExclusivity(const StepRun& step, const Queue& queue,
@@ -198,6 +202,14 @@
   return best;
 }
 
+auto Dispatcher::KnownWorkerShare() const -> double {
+  const auto unclaimed = unclaimed_workers_.size();
+  const auto all = std::max(workers_.size(), unclaimed);
+  return unclaimed == 0
+             ? 1
+             : 1 - static_cast<double>(unclaimed) / static_cast<double>(all);
+}
+
 auto Dispatcher::IsWithinTeamLimit(const std::string& team,
                                    const Resources& demand) const -> bool {
   const auto config = hooks_.config_();
@@ -210,8 +222,11 @@
   if (const auto it = team_usage_.find(team); it != team_usage_.end()) {
     used += it->second;
   }
-  const auto is_within = [](std::int64_t amount, std::int64_t limit) {
-    return limit == 0 || amount <= limit;
+  const auto known_share = KnownWorkerShare();
+  const auto is_within = [&](std::int64_t amount, std::int64_t limit) {
+    return limit == 0 || (known_share >= kMinKnownWorkerShare &&
+                          static_cast<double>(amount) <=
+                              known_share * static_cast<double>(limit));
   };
   return is_within(used.cpu_milli_, found->limit_.cpu_milli_) &&
          is_within(used.memory_mb_, found->limit_.memory_mb_) &&
--- a/testing/fleet_test.cc
+++ b/testing/fleet_test.cc
@@ -578,6 +578,38 @@
   BOOST_TEST(fleet.WaitForState(0, kJob, "completed"));
 }
 
+// Guards against QUOTA: a new owner knows only what the workers run that have
+// answered, and starts more for a team that has its limit running elsewhere.
+BOOST_AUTO_TEST_CASE(a_team_stays_within_its_limit_at_a_take_over) {
+  Fleet fleet;
+  fleet.Configure(R"(["key-a"])", R"({"cpu":4000})");
+  fleet.Start(2, 4);
+  const auto owner = fleet.OwnerNode();
+  const auto other = 1 - owner;
+  BOOST_REQUIRE_EQUAL(fleet.Submit(owner, kJob, "ms=0",
+                                   {{4, 1000, 0, R"(,"long_running":true)"}}),
+                      200);
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return fleet.platform().RunningOf(kJob) == 4; }));
+  for (const auto* id : {"i-1", "i-2", "i-3"}) {
+    fleet.platform().worker(id).SetCut(true);
+  }
+  fleet.KillNode(owner);
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return !fleet.platform().store().Get("ls/owner").empty() &&
+           fleet.OwnerNode() != owner;
+  }));
+  // The former owner's rights have ended, its leases have not.
+  fleet.RunFor(1700);
+  constexpr auto kNewJob = "00000000000000a7";
+  BOOST_TEST(fleet.Submit(other, kNewJob, "ms=100", {{2, 1000, 0, ""}}) == 200);
+  fleet.RunUntil([&] {
+    return fleet.platform().RunningOf(kJob) < 4 ||
+           fleet.platform().StartsOf(kNewJob) > 0;
+  });
+  BOOST_TEST(fleet.platform().RunningOf(kJob) < 4);
+}
+
 BOOST_AUTO_TEST_CASE(tasks_run_only_where_the_advice_allows_it) {
   Fleet fleet;
   fleet.Configure(R"(["key-a"])", "{}", true);
